Add the thin path: gateway, agent, operator program and stand-ins

Cause: the project needs one request served from end to end before its decisions are worked out. Change: separate programs for gateway, agent, operator and stand-ins; a lookup, a keyed booking with replay and a streamed pull are served over loopback; declarations are committed in one conditional transaction.

--- /dev/null
+++ b/tanagerspoke/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module per program or subcommand."""
--- /dev/null
+++ b/tanagerspoke/commands/agent.py
@@ -0,0 +1,32 @@
+"""The program `tanagerspoke-agent`."""
+
+import pathlib
+
+import cyclopts
+
+import tanagerspoke
+from tanagerspoke.commands import program
+from tanagerspoke.settings import options
+from tanagerspoke.transport import agent_service
+
+app = cyclopts.App(name="tanagerspoke-agent", version=tanagerspoke.__version__)
+
+
+@app.default
+def agent(*, settings: pathlib.Path) -> None:
+    """Serves the gateways of one entry host; one agent runs on each host.
+
+    Args:
+        settings: JSON settings file.
+    """
+    cfg = program.load_settings(path=settings, option_type=options.Agent)
+    program.serve(
+        name="tanagerspoke-agent",
+        log_level=cfg.log_level,
+        service=lambda: agent_service.AgentService(cfg=cfg),
+    )
+
+
+def main() -> None:
+    """Entry point."""
+    app()
--- /dev/null
+++ b/tanagerspoke/commands/program.py
@@ -0,0 +1,74 @@
+"""What every program does around its service."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import pathlib
+import signal
+import sys
+from typing import Any, Protocol, TypeVar
+
+import uvloop
+
+from tanagerspoke import exceptions
+from tanagerspoke.settings import options
+from tanagerspoke.transport import logs
+
+T = TypeVar("T")
+
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+
+
+class Running(Protocol):
+    """A service that a program runs until it is told to stop."""
+
+    async def start(self) -> Any:
+        """Opens sockets and starts tasks."""
+
+    async def close(self) -> Any:
+        """Stops tasks and closes sockets."""
+
+
+def load_settings(*, path: pathlib.Path, option_type: type[T]) -> T:
+    """Returns checked settings; prints every error and exits with 2."""
+    try:
+        return options.load(path=path, option_type=option_type)
+    except exceptions.SettingsError as exc:
+        print(exc, file=sys.stderr)
+        raise SystemExit(EXIT_INVALID) from exc
+
+
+def serve(*, name: str, log_level: str, service: Callable[[], Running]) -> None:
+    """Runs a service until SIGTERM or SIGINT."""
+    logs.configure(program=name, level=log_level)
+    uvloop.run(_serve(service))
+
+
+async def _serve(make: Callable[[], Running]) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stop.set)
+    service = make()
+    await service.start()
+    try:
+        await stop.wait()
+    finally:
+        await service.close()
+
+
+def run_once(*, name: str, log_level: str, job: Awaitable[T]) -> T:
+    """Runs a command; prints an error of this package and exits with 1."""
+    logs.configure(program=name, level=log_level)
+
+    async def run() -> T:
+        return await job
+
+    try:
+        return uvloop.run(run())
+    except exceptions.DeclarationError as exc:
+        print(exc, file=sys.stderr)
+        raise SystemExit(EXIT_INVALID) from exc
+    except exceptions.TanagerspokeError as exc:
+        print(exc, file=sys.stderr)
+        raise SystemExit(EXIT_FAILED) from exc
--- /dev/null
+++ b/tanagerspoke/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as sans-I/O state machines."""
--- /dev/null
+++ b/tanagerspoke/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes and between parts of one process."""
--- /dev/null
+++ b/tanagerspoke/protocol/errors.py
@@ -0,0 +1,111 @@
+"""Stable error codes, outcomes and the JSON error body."""
+
+import enum
+import http
+
+import msgspec
+
+
+class Outcome(enum.StrEnum):
+    """What an answer says about whether the call ran."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    IN_PROGRESS = "in-progress"
+    REPLAYED = "replayed"
+
+
+class ErrorCode(enum.StrEnum):
+    """Stable codes of the errors that callers get."""
+
+    MISSING_CLIENT_ACCOUNT = "missing_client_account"
+    MALFORMED_REQUEST = "malformed_request"
+    MALFORMED_DEADLINE = "malformed_deadline"
+    MALFORMED_DEPTH = "malformed_depth"
+    MALFORMED_KEY = "malformed_key"
+    KEY_REQUIRED = "key_required"
+    DEPTH_EXCEEDED = "depth_exceeded"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_CLIENT_ACCOUNT = "unknown_client_account"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_ROUTE = "unknown_route"
+    IN_PROGRESS = "in_progress"
+    BODY_TOO_LARGE = "body_too_large"
+    KEY_REUSED = "key_reused"
+    RATE_LIMITED = "rate_limited"
+    CONCURRENCY_LIMITED = "concurrency_limited"
+    HEADER_TOO_LARGE = "header_too_large"
+    QUEUE_TIMEOUT = "queue_timeout"
+    QUEUE_FULL = "queue_full"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAM_SHED = "upstream_shed"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    STORE_UNAVAILABLE = "store_unavailable"
+    AGENT_UNAVAILABLE = "agent_unavailable"
+    STOPPING = "stopping"
+    UPSTREAM_BROKEN = "upstream_broken"
+    CROSSED_REPLY = "crossed_reply"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+
+
+_STATUS = {
+    ErrorCode.UNAUTHORIZED: http.HTTPStatus.UNAUTHORIZED,
+    ErrorCode.UNKNOWN_CLIENT_ACCOUNT: http.HTTPStatus.NOT_FOUND,
+    ErrorCode.UNKNOWN_SERVICE: http.HTTPStatus.NOT_FOUND,
+    ErrorCode.UNKNOWN_ROUTE: http.HTTPStatus.NOT_FOUND,
+    ErrorCode.IN_PROGRESS: http.HTTPStatus.CONFLICT,
+    ErrorCode.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    ErrorCode.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    ErrorCode.RATE_LIMITED: http.HTTPStatus.TOO_MANY_REQUESTS,
+    ErrorCode.CONCURRENCY_LIMITED: http.HTTPStatus.TOO_MANY_REQUESTS,
+    ErrorCode.HEADER_TOO_LARGE: (
+        http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    ),
+    ErrorCode.QUEUE_TIMEOUT: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorCode.QUEUE_FULL: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorCode.NO_UPSTREAM: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorCode.UPSTREAM_SHED: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorCode.UPSTREAM_UNREACHABLE: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorCode.STORE_UNAVAILABLE: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorCode.AGENT_UNAVAILABLE: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorCode.STOPPING: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorCode.UPSTREAM_BROKEN: http.HTTPStatus.BAD_GATEWAY,
+    ErrorCode.CROSSED_REPLY: http.HTTPStatus.BAD_GATEWAY,
+    ErrorCode.UPSTREAM_TIMEOUT: http.HTTPStatus.GATEWAY_TIMEOUT,
+    ErrorCode.OUTCOME_UNKNOWN: http.HTTPStatus.GATEWAY_TIMEOUT,
+}
+
+_OUTCOME = {
+    ErrorCode.IN_PROGRESS: Outcome.IN_PROGRESS,
+    ErrorCode.UPSTREAM_BROKEN: Outcome.UNKNOWN,
+    ErrorCode.CROSSED_REPLY: Outcome.UNKNOWN,
+    ErrorCode.UPSTREAM_TIMEOUT: Outcome.UNKNOWN,
+    ErrorCode.OUTCOME_UNKNOWN: Outcome.UNKNOWN,
+}
+
+
+def status_of(code: ErrorCode) -> int:
+    """Returns the HTTP status of an error code."""
+    return int(_STATUS.get(code, http.HTTPStatus.BAD_REQUEST))
+
+
+def outcome_of(code: ErrorCode) -> Outcome:
+    """Returns what an error code says about whether the call ran."""
+    return _OUTCOME.get(code, Outcome.NOT_RUN)
+
+
+class ErrorDetail(msgspec.Struct, frozen=True, kw_only=True):
+    """Content of an error answer."""
+
+    code: ErrorCode
+    message: str
+    outcome: Outcome
+    request_id: str
+
+
+class ErrorBody(msgspec.Struct, frozen=True, kw_only=True):
+    """JSON body of an error answer."""
+
+    error: ErrorDetail
--- /dev/null
+++ b/tanagerspoke/protocol/headers.py
@@ -0,0 +1,49 @@
+"""Header names, their limits and the codec of the load header."""
+
+from tanagerspoke.protocol import upstreams
+
+CLIENT_ACCOUNT = "Tanagerspoke-Client-Account"
+DEADLINE_MS = "Tanagerspoke-Deadline-Ms"
+DEPTH = "Tanagerspoke-Depth"
+REQUEST_ID = "Tanagerspoke-Request-Id"
+ATTEMPT = "Tanagerspoke-Attempt"
+LOAD = "Tanagerspoke-Load"
+OUTCOME = "Tanagerspoke-Outcome"
+RETRY = "Tanagerspoke-Retry"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+
+# Set by the system only; removed from the requests of callers.
+RESERVED = (REQUEST_ID, ATTEMPT, LOAD, OUTCOME, RETRY)
+
+MAX_DEADLINE_MS = 600_000
+MAX_DEPTH = 15
+MAX_KEY_CHARS = 128
+
+
+def format_load(report: upstreams.LoadReport) -> str:
+    """Returns the value of the load header."""
+    return (
+        f"in_flight={report.in_flight};slots={report.slots};"
+        f"phase={report.phase.value}"
+    )
+
+
+def parse_load(value: str | None) -> upstreams.LoadReport | None:
+    """Returns the report of a load header, or None where it is malformed.
+
+    A malformed report counts as no report, since upstreams may mislead.
+    """
+    if not value:
+        return None
+    try:
+        fields = dict(part.split("=", 1) for part in value.split(";"))
+        report = upstreams.LoadReport(
+            in_flight=int(fields["in_flight"]),
+            slots=int(fields["slots"]),
+            phase=upstreams.UpstreamPhase(fields.get("phase", "ready")),
+        )
+    except (KeyError, ValueError):
+        return None
+    if report.in_flight < 0 or report.slots < 1:
+        return None
+    return report
--- /dev/null
+++ b/tanagerspoke/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings of every program."""
--- /dev/null
+++ b/tanagerspoke/settings/options.py
@@ -0,0 +1,211 @@
+"""Typed options of every program, read from a JSON file."""
+
+import pathlib
+from typing import Annotated, Any, TypeVar
+
+import pydantic
+from pydantic import dataclasses
+
+from tanagerspoke import exceptions
+
+T = TypeVar("T")
+
+_CONFIG = pydantic.ConfigDict(extra="forbid", strict=True)
+
+Name = Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+]
+IpAddress = Annotated[
+    str, pydantic.Field(pattern=r"^([0-9]{1,3}(\.[0-9]{1,3}){3}|[0-9a-f:]+)$")
+]
+Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
+PositiveSeconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
+Share = Annotated[float, pydantic.Field(gt=0, le=1)]
+LogLevel = Annotated[
+    str, pydantic.Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")
+]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class Endpoint:
+    """IP address and port."""
+
+    address: IpAddress
+    port: Port
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class Tls:
+    """Files for mutual TLS between our own processes."""
+
+    certificate_file: str
+    private_key_file: str
+    authority_file: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class Place:
+    """Where a process runs."""
+
+    host: Name
+    availability_zone: Name
+    region: Name
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class Gateway:
+    """Options of `tanagerspoke-gateway`.
+
+    Attributes:
+        shared_key: authenticates to the agent.
+        lame_duck_s: time between readiness turning false and the listener
+            closing, so that the platform's balancer can take note.
+        stop_deadline_s: longest wait for running calls at a planned stop.
+    """
+
+    place: Place
+    gateway_id: Name
+    callers: Endpoint
+    admin: Endpoint
+    agent: Endpoint
+    shared_key: Annotated[str, pydantic.Field(min_length=16)]
+    tls: Tls | None = None
+    lame_duck_s: Annotated[float, pydantic.Field(ge=0, le=600)] = 5.0
+    stop_deadline_s: PositiveSeconds = 900.0
+    max_header_bytes: Annotated[int, pydantic.Field(ge=1024)] = 16_384
+    max_body_bytes: Annotated[int, pydantic.Field(ge=1024)] = 4_194_304
+    hold_answer_bytes: Annotated[int, pydantic.Field(ge=1024)] = 262_144
+    late_replies_watched: Annotated[int, pydantic.Field(ge=0)] = 64
+    log_level: LogLevel = "INFO"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class ControlBudget:
+    """What control may cost on one host."""
+
+    bytes_per_s: Annotated[int, pydantic.Field(gt=0)] = 4096
+    cpu_share: Share = 0.042
+    memory_mb: Annotated[int, pydantic.Field(gt=0)] = 256
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class Store:
+    """Use of the platform's table by one agent.
+
+    Attributes:
+        writes_per_s: this host's share of the table's write limit.
+        group_rows: most rows of one transaction.
+        claim_retention_s: lifetime of claim rows.
+    """
+
+    writes_per_s: Annotated[float, pydantic.Field(gt=0)] = 60.0
+    group_rows: Annotated[int, pydantic.Field(ge=1, le=1000)] = 64
+    timeout_s: PositiveSeconds = 1.0
+    claim_retention_s: PositiveSeconds = 86_400.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class Agent:
+    """Options of `tanagerspoke-agent`."""
+
+    place: Place
+    gateways: Endpoint
+    peers: Endpoint
+    admin: Endpoint
+    platform: Endpoint
+    shared_key: Annotated[str, pydantic.Field(min_length=16)]
+    tls: Tls | None = None
+    budget: ControlBudget = pydantic.Field(default_factory=ControlBudget)
+    store: Store = pydantic.Field(default_factory=Store)
+    poll_interval_s: PositiveSeconds = 2.0
+    heartbeat_interval_s: PositiveSeconds = 1.0
+    log_level: LogLevel = "INFO"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class Ctl:
+    """Options of `tanagerspokectl`."""
+
+    platform: Endpoint
+    author: Name
+    timeout_s: PositiveSeconds = 5.0
+    log_level: LogLevel = "WARNING"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class Report:
+    """Options of `tanagerspoke-report`; endpoints are admin ports."""
+
+    gateways: list[Endpoint]
+    timeout_s: PositiveSeconds = 5.0
+    log_level: LogLevel = "WARNING"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class StandinPlatform:
+    """Options of `tanagerspoke-standin platform`."""
+
+    listen: Endpoint
+    writes_per_s: Annotated[float, pydantic.Field(gt=0)] = 400.0
+    reads_per_s: Annotated[float, pydantic.Field(gt=0)] = 2000.0
+    log_level: LogLevel = "INFO"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class StandinUpstream:
+    """Options of `tanagerspoke-standin upstream`.
+
+    Attributes:
+        platform: where the worker registers itself in the host list.
+        lookup_ms, write_ms, pull_ms: service time by class of call.
+    """
+
+    place: Place
+    name: Name
+    service: Name
+    listen: Endpoint
+    platform: Endpoint | None = None
+    slots: Annotated[int, pydantic.Field(ge=1)] = 3
+    max_connections: Annotated[int, pydantic.Field(ge=1)] = 200
+    lookup_ms: Annotated[float, pydantic.Field(ge=0)] = 5.0
+    write_ms: Annotated[float, pydantic.Field(ge=0)] = 20.0
+    pull_ms: Annotated[float, pydantic.Field(ge=0)] = 2000.0
+    cold_start_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    log_level: LogLevel = "INFO"
+
+
+def describe_errors(*, where: str, exc: pydantic.ValidationError) -> str:
+    """Returns one line for each error: JSON path, expected, found."""
+    lines = []
+    for error in exc.errors(include_url=False):
+        path = json_path(error["loc"])
+        found = error.get("input")
+        lines.append(f"{where}: {path}: {error['msg']}; found {found!r}")
+    return "\n".join(lines)
+
+
+def json_path(loc: tuple[Any, ...]) -> str:
+    """Returns a JSON path such as `$.callers.port`."""
+    path = "$"
+    for part in loc:
+        path += f"[{part}]" if isinstance(part, int) else f".{part}"
+    return path
+
+
+def load(*, path: pathlib.Path, option_type: type[T]) -> T:
+    """Reads and checks a settings file.
+
+    Raises:
+        SettingsError: the file is unreadable or invalid; the message lists
+            every error.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as exc:
+        raise exceptions.SettingsError(f"{path}: {exc.strerror}") from exc
+    try:
+        return pydantic.TypeAdapter(option_type).validate_json(data)
+    except pydantic.ValidationError as exc:
+        raise exceptions.SettingsError(
+            describe_errors(where=str(path), exc=exc)
+        ) from exc
--- /dev/null
+++ b/tanagerspoke/state/__init__.py
@@ -0,0 +1,1 @@
+"""What a process remembers: declarations, configuration, loads, claims."""
--- /dev/null
+++ b/tanagerspoke/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, servers and clients around the decisions."""
--- /dev/null
+++ b/tanagerspoke/transport/admin_server.py
@@ -0,0 +1,59 @@
+"""HTTP server for metrics and health, on a port of its own."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+import prometheus_client
+
+from tanagerspoke.settings import options
+
+
+class AdminServer:
+    """Serves `/metrics`, `/healthz` and `/readyz`."""
+
+    def __init__(
+        self,
+        *,
+        listen: options.Endpoint,
+        registry: prometheus_client.CollectorRegistry,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._listen = listen
+        self._registry = registry
+        self._is_ready = is_ready
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Opens the port."""
+        app = web.Application()
+        app.router.add_get("/metrics", self._metrics)
+        app.router.add_get("/healthz", self._healthz)
+        app.router.add_get("/readyz", self._readyz)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(
+            self._runner, self._listen.address, self._listen.port
+        ).start()
+
+    async def close(self) -> None:
+        """Closes the port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    async def _metrics(self, req: web.Request) -> web.Response:
+        del req
+        return web.Response(
+            body=prometheus_client.generate_latest(self._registry),
+            headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
+        )
+
+    async def _healthz(self, req: web.Request) -> web.Response:
+        del req
+        return web.Response(text="ok\n")
+
+    async def _readyz(self, req: web.Request) -> web.Response:
+        del req
+        if self._is_ready():
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text="not ready\n")
--- /dev/null
+++ b/tanagerspoke/transport/grpc_agent.py
@@ -0,0 +1,222 @@
+"""gRPC between a gateway and the agent of its host."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+import hmac
+from typing import Any, Protocol
+
+import grpc
+import grpc.aio
+
+from tanagerspoke import exceptions
+from tanagerspoke.protocol import agent
+from tanagerspoke.protocol import codec
+from tanagerspoke.settings import options
+
+_KEY_METADATA = "tanagerspoke-key"
+
+_subscribe_decoder = codec.Decoder(message_type=agent.SubscribeRequest)
+_update_decoder = codec.Decoder(message_type=agent.GatewayUpdate)
+_claim_decoder = codec.Decoder(message_type=agent.ClaimRequest)
+_claim_reply_decoder = codec.Decoder(message_type=agent.ClaimReply)
+_complete_decoder = codec.Decoder(message_type=agent.CompleteRequest)
+_observe_decoder = codec.Decoder(message_type=agent.ObserveRequest)
+
+
+class AgentHandler(Protocol):
+    """What the agent does for its gateways."""
+
+    def subscribe(
+        self, request: agent.SubscribeRequest
+    ) -> AsyncIterator[agent.GatewayUpdate]:
+        """Yields updates until the gateway leaves."""
+
+    async def claim(self, request: agent.ClaimRequest) -> agent.ClaimReply:
+        """Claims the right to run a write."""
+
+    async def complete(
+        self, request: agent.CompleteRequest
+    ) -> agent.CompleteReply:
+        """Takes the end of a claimed write."""
+
+    async def observe(
+        self, request: agent.ObserveRequest
+    ) -> agent.ObserveReply:
+        """Takes what a gateway saw."""
+
+
+async def check_key(context: grpc.aio.ServicerContext, shared_key: str) -> None:
+    """Aborts the call unless its metadata carries the shared key."""
+    metadata = dict(context.invocation_metadata() or ())
+    given = str(metadata.get(_KEY_METADATA, ""))
+    if not hmac.compare_digest(given.encode(), shared_key.encode()):
+        await context.abort(
+            grpc.StatusCode.UNAUTHENTICATED, "shared key is missing or wrong"
+        )
+
+
+def unary_handler(
+    *,
+    shared_key: str,
+    decoder: codec.Decoder,
+    handle: Callable[[Any], Awaitable[Any]],
+) -> grpc.RpcMethodHandler:
+    """Returns a handler that checks the key and the message."""
+
+    async def handler(data: bytes, context: grpc.aio.ServicerContext) -> bytes:
+        await check_key(context, shared_key)
+        try:
+            request = decoder.decode(data)
+        except exceptions.ProtocolError as exc:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(exc))
+        return codec.encode(await handle(request))
+
+    return grpc.unary_unary_rpc_method_handler(handler)
+
+
+class AgentServer:
+    """Serves the gateways of this host."""
+
+    def __init__(
+        self,
+        *,
+        listen: options.Endpoint,
+        shared_key: str,
+        handler: AgentHandler,
+    ) -> None:
+        self._listen = listen
+        self._shared_key = shared_key
+        self._handler = handler
+        self._server: grpc.aio.Server | None = None
+
+    async def start(self) -> None:
+        """Opens the port."""
+        self._server = grpc.aio.server()
+        self._server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    agent.SERVICE, self._methods()
+                ),
+            )
+        )
+        self._server.add_insecure_port(
+            f"{self._listen.address}:{self._listen.port}"
+        )
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Closes the port; running calls get a short grace time."""
+        if self._server is not None:
+            await self._server.stop(grace=0.5)
+            self._server = None
+
+    def _methods(self) -> dict[str, grpc.RpcMethodHandler]:
+        return {
+            "Subscribe": grpc.unary_stream_rpc_method_handler(self._subscribe),
+            "Claim": self._unary(_claim_decoder, self._handler.claim),
+            "Complete": self._unary(_complete_decoder, self._handler.complete),
+            "Observe": self._unary(_observe_decoder, self._handler.observe),
+        }
+
+    def _unary(
+        self,
+        decoder: codec.Decoder,
+        handle: Callable[[Any], Awaitable[Any]],
+    ) -> grpc.RpcMethodHandler:
+        return unary_handler(
+            shared_key=self._shared_key, decoder=decoder, handle=handle
+        )
+
+    async def _subscribe(
+        self, data: bytes, context: grpc.aio.ServicerContext
+    ) -> AsyncIterator[bytes]:
+        await check_key(context, self._shared_key)
+        try:
+            request = _subscribe_decoder.decode(data)
+        except exceptions.ProtocolError as exc:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(exc))
+        async for update in self._handler.subscribe(request):
+            yield codec.encode(update)
+
+
+class AgentClient:
+    """A gateway's connection to the agent of its host.
+
+    Every call raises `AgentUnavailableError` where no valid answer came.
+    """
+
+    def __init__(self, *, endpoint: options.Endpoint, shared_key: str) -> None:
+        self._target = f"{endpoint.address}:{endpoint.port}"
+        self._metadata = ((_KEY_METADATA, shared_key),)
+        self._channel: grpc.aio.Channel | None = None
+
+    async def start(self) -> None:
+        """Opens the channel; it connects when first used."""
+        self._channel = grpc.aio.insecure_channel(
+            self._target,
+            options=(
+                ("grpc.initial_reconnect_backoff_ms", 100),
+                ("grpc.min_reconnect_backoff_ms", 100),
+                ("grpc.max_reconnect_backoff_ms", 1000),
+            ),
+        )
+
+    async def close(self) -> None:
+        """Closes the channel."""
+        if self._channel is not None:
+            await self._channel.close()
+            self._channel = None
+
+    async def subscribe(
+        self, request: agent.SubscribeRequest
+    ) -> AsyncIterator[agent.GatewayUpdate]:
+        """Yields updates until the agent is gone."""
+        if self._channel is None:
+            raise exceptions.AgentUnavailableError("channel is closed")
+        method = self._channel.unary_stream(f"/{agent.SERVICE}/Subscribe")
+        try:
+            async for data in method(
+                codec.encode(request), metadata=self._metadata
+            ):
+                yield _update_decoder.decode(data)
+        except grpc.aio.AioRpcError as exc:
+            raise _unavailable(exc) from exc
+
+    async def claim(
+        self, request: agent.ClaimRequest, *, timeout_s: float
+    ) -> agent.ClaimReply:
+        """Claims the right to run a write."""
+        data = await self._call("Claim", request, timeout_s)
+        return _claim_reply_decoder.decode(data)
+
+    async def complete(
+        self, request: agent.CompleteRequest, *, timeout_s: float
+    ) -> None:
+        """Reports the end of a claimed write."""
+        await self._call("Complete", request, timeout_s)
+
+    async def observe(
+        self, request: agent.ObserveRequest, *, timeout_s: float
+    ) -> None:
+        """Reports what this gateway saw."""
+        await self._call("Observe", request, timeout_s)
+
+    async def _call(self, name: str, request: Any, timeout_s: float) -> bytes:
+        if self._channel is None:
+            raise exceptions.AgentUnavailableError("channel is closed")
+        method = self._channel.unary_unary(f"/{agent.SERVICE}/{name}")
+        try:
+            return await method(
+                codec.encode(request),
+                metadata=self._metadata,
+                timeout=timeout_s,
+            )
+        except grpc.aio.AioRpcError as exc:
+            raise _unavailable(exc) from exc
+
+
+def _unavailable(
+    exc: grpc.aio.AioRpcError,
+) -> exceptions.AgentUnavailableError:
+    return exceptions.AgentUnavailableError(
+        f"{exc.code().name}: {exc.details()}"
+    )
--- /dev/null
+++ b/tanagerspoke/transport/platform_client.py
@@ -0,0 +1,126 @@
+"""HTTP client of the platform's table, object store and host list."""
+
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from tanagerspoke import exceptions
+from tanagerspoke.protocol import platform
+from tanagerspoke.settings import options
+
+_reply_decoder = msgspec.json.Decoder(platform.TransactionReply)
+_row_decoder = msgspec.json.Decoder(platform.Row)
+_scan_decoder = msgspec.json.Decoder(platform.ScanReply)
+_hosts_decoder = msgspec.json.Decoder(platform.HostList)
+
+
+class PlatformClient:
+    """Calls the platform; each call is bounded by `timeout_s`.
+
+    Every call raises `PlatformUnavailableError` where no valid answer came;
+    whether a transaction took effect is unknown then.
+    """
+
+    def __init__(self, *, endpoint: options.Endpoint, timeout_s: float) -> None:
+        self._base = f"http://{endpoint.address}:{endpoint.port}"
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Opens the connection pool."""
+        self._session = aiohttp.ClientSession(timeout=self._timeout)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def transact(
+        self, transaction: platform.Transaction
+    ) -> platform.TransactionReply:
+        """Commits a transaction, or says which conditions failed."""
+        status, body = await self._call(
+            "POST", "/table/transact", data=msgspec.json.encode(transaction)
+        )
+        _expect(status, (200, 409))
+        return _decode(_reply_decoder, body)
+
+    async def get(self, key: str) -> platform.Row | None:
+        """Returns a row, or None where it is absent."""
+        status, body = await self._call(
+            "GET", "/table/row", params={"key": key}
+        )
+        _expect(status, (200, 404))
+        return None if status == 404 else _decode(_row_decoder, body)
+
+    async def scan(
+        self, *, prefix: str, after: str = "", limit: int = 500
+    ) -> platform.ScanReply:
+        """Returns rows of a prefix in key order, after the key `after`."""
+        status, body = await self._call(
+            "GET",
+            "/table/scan",
+            params={"prefix": prefix, "after": after, "limit": str(limit)},
+        )
+        _expect(status, (200,))
+        return _decode(_scan_decoder, body)
+
+    async def put_object(self, *, key: str, data: bytes) -> bool:
+        """Stores an object; returns False where the key is taken."""
+        status, _ = await self._call(
+            "PUT",
+            f"/objects/{key}",
+            data=data,
+            headers={"If-None-Match": "*"},
+        )
+        _expect(status, (201, 412))
+        return status == 201
+
+    async def get_object(self, key: str) -> bytes | None:
+        """Returns an object, or None where it is absent."""
+        status, body = await self._call("GET", f"/objects/{key}")
+        _expect(status, (200, 404))
+        return None if status == 404 else body
+
+    async def hosts(
+        self, *, known_version: int = -1
+    ) -> platform.HostList | None:
+        """Returns the host list, or None where it has the known version."""
+        status, body = await self._call(
+            "GET", "/hosts", params={"known_version": str(known_version)}
+        )
+        _expect(status, (200, 304))
+        return None if status == 304 else _decode(_hosts_decoder, body)
+
+    async def _call(
+        self, method: str, path: str, **kwargs: Any
+    ) -> tuple[int, bytes]:
+        if self._session is None:
+            raise exceptions.PlatformUnavailableError("client is closed")
+        try:
+            async with self._session.request(
+                method, self._base + path, **kwargs
+            ) as resp:
+                return resp.status, await resp.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise exceptions.PlatformUnavailableError(
+                f"{method} {path}: {type(exc).__name__}: {exc}"
+            ) from exc
+
+
+def _expect(status: int, accepted: tuple[int, ...]) -> None:
+    if status not in accepted:
+        raise exceptions.PlatformUnavailableError(
+            f"the platform answered with status {status}"
+        )
+
+
+def _decode(decoder: msgspec.json.Decoder, body: bytes) -> Any:
+    try:
+        return decoder.decode(body)
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        raise exceptions.PlatformUnavailableError(
+            f"malformed answer of the platform: {exc}"
+        ) from exc
--- /dev/null
+++ b/tests/stack.py
@@ -0,0 +1,284 @@
+"""Starts the real programs as processes for tests."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+import aiohttp
+
+SHARED_KEY = "test-only-shared-key"
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+
+# Bound of every wait; a loaded machine needs far less.
+WAIT_S = 60.0
+
+
+def free_port() -> int:
+    """Returns a port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def endpoint(port: int) -> dict[str, Any]:
+    """Returns the settings of a loopback endpoint."""
+    return {"address": "127.0.0.1", "port": port}
+
+
+def place(host: str, availability_zone: str = "az-a") -> dict[str, str]:
+    """Returns the settings of a place."""
+    return {
+        "host": host,
+        "availability_zone": availability_zone,
+        "region": "region-1",
+    }
+
+
+async def wait_until(
+    condition: Callable[[], Awaitable[bool]], what: str
+) -> None:
+    """Waits until a condition holds, at most `WAIT_S` seconds."""
+    until = time.monotonic() + WAIT_S
+    while time.monotonic() < until:
+        if await condition():
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError(f"timed out waiting: {what}")
+
+
+class Process:
+    """One program under test."""
+
+    def __init__(
+        self, *, name: str, argv: list[str], log_path: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.log_path = log_path
+        self._argv = argv
+        self._popen: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Starts, or starts again."""
+        with self.log_path.open("ab") as log:
+            self._popen = subprocess.Popen(self._argv, stdout=log, stderr=log)
+
+    def send(self, signum: signal.Signals) -> None:
+        """Sends a signal, for example SIGSTOP."""
+        assert self._popen is not None
+        self._popen.send_signal(signum)
+
+    def kill(self) -> None:
+        """Sends SIGKILL and waits."""
+        if self._popen is not None and self._popen.poll() is None:
+            self._popen.kill()
+            self._popen.wait()
+
+    def terminate(self) -> int:
+        """Sends SIGTERM and waits; returns the exit code."""
+        assert self._popen is not None
+        self._popen.terminate()
+        return self._popen.wait(timeout=WAIT_S)
+
+    def poll(self) -> int | None:
+        """Returns the exit code, or None while it runs."""
+        assert self._popen is not None
+        return self._popen.poll()
+
+    def log_events(self) -> list[dict[str, Any]]:
+        """Returns the JSON lines that it logged."""
+        events = []
+        for line in self.log_path.read_text().splitlines():
+            try:
+                events.append(json.loads(line))
+            except json.JSONDecodeError:
+                continue
+        return events
+
+
+class Stack:
+    """Platform stand-in, upstreams, agents and gateways on loopback."""
+
+    def __init__(self, *, directory: pathlib.Path) -> None:
+        self._directory = directory
+        self._processes: dict[str, Process] = {}
+        self.http: aiohttp.ClientSession | None = None
+        self.platform_port = free_port()
+        self.caller_port = free_port()
+        self.agent_ports: dict[str, int] = {}
+        self.admin_ports: dict[str, int] = {}
+        self.upstream_ports: dict[str, int] = {}
+
+    def __getitem__(self, name: str) -> Process:
+        return self._processes[name]
+
+    async def start(self) -> None:
+        """Opens the HTTP client and starts the platform's stand-in."""
+        self.http = aiohttp.ClientSession()
+        self.run(
+            "platform",
+            ["tanagerspoke-standin", "platform"],
+            {"listen": endpoint(self.platform_port)},
+        )
+        await self.wait_http(self.platform_port, "/hosts")
+
+    async def close(self) -> None:
+        """Ends every process that this stack started."""
+        for process in self._processes.values():
+            process.kill()
+        if self.http is not None:
+            await self.http.close()
+
+    def run(
+        self, name: str, command: list[str], settings: dict[str, Any]
+    ) -> Process:
+        """Starts a program with settings."""
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        argv = [*program(command), "--settings", str(path)]
+        process = Process(
+            name=name, argv=argv, log_path=self._directory / f"{name}.log"
+        )
+        self._processes[name] = process
+        process.start()
+        return process
+
+    async def add_upstream(
+        self, name: str, service: str, **settings: Any
+    ) -> Process:
+        """Starts an upstream's stand-in and waits until it answers."""
+        port = free_port()
+        self.upstream_ports[name] = port
+        process = self.run(
+            name,
+            ["tanagerspoke-standin", "upstream"],
+            {
+                "place": place(f"host-of-{name}"),
+                "name": name,
+                "service": service,
+                "listen": endpoint(port),
+                "platform": endpoint(self.platform_port),
+            }
+            | settings,
+        )
+        await self.wait_http(port, "/load")
+        return process
+
+    async def add_agent(self, host: str, **settings: Any) -> Process:
+        """Starts the agent of a host."""
+        name = f"agent-{host}"
+        self.agent_ports[host] = free_port()
+        self.admin_ports[name] = free_port()
+        process = self.run(
+            name,
+            ["tanagerspoke-agent"],
+            {
+                "place": place(host),
+                "gateways": endpoint(self.agent_ports[host]),
+                "peers": endpoint(free_port()),
+                "admin": endpoint(self.admin_ports[name]),
+                "platform": endpoint(self.platform_port),
+                "shared_key": SHARED_KEY,
+                "poll_interval_s": 0.2,
+            }
+            | settings,
+        )
+        await self.wait_http(self.admin_ports[name], "/healthz")
+        return process
+
+    async def add_gateway(
+        self, host: str, number: int = 1, **settings: Any
+    ) -> Process:
+        """Starts a gateway of a host."""
+        name = f"gateway-{host}-{number}"
+        self.admin_ports[name] = free_port()
+        process = self.run(
+            name,
+            ["tanagerspoke-gateway"],
+            {
+                "place": place(host),
+                "gateway_id": f"{host}-{number}",
+                "callers": endpoint(self.caller_port),
+                "admin": endpoint(self.admin_ports[name]),
+                "agent": endpoint(self.agent_ports[host]),
+                "shared_key": SHARED_KEY,
+                "lame_duck_s": 0.2,
+            }
+            | settings,
+        )
+        await self.wait_http(self.admin_ports[name], "/healthz")
+        return process
+
+    async def ctl(self, *args: str) -> tuple[int, str]:
+        """Runs `tanagerspokectl`; returns exit code and output."""
+        path = self._directory / "ctl.json"
+        path.write_text(
+            json.dumps(
+                {
+                    "platform": endpoint(self.platform_port),
+                    "author": "tester",
+                }
+            )
+        )
+        process = await asyncio.create_subprocess_exec(
+            *program(["tanagerspokectl", *args]),
+            "--settings",
+            str(path),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await asyncio.wait_for(process.communicate(), WAIT_S)
+        return process.returncode or 0, output.decode()
+
+    async def wait_http(self, port: int, path: str) -> None:
+        """Waits until a port answers with 200."""
+
+        async def answers() -> bool:
+            try:
+                status, _ = await self.get(port, path)
+            except (aiohttp.ClientError, OSError):
+                return False
+            return status == 200
+
+        await wait_until(answers, f"port {port} to serve {path}")
+
+    async def wait_ready(self, name: str) -> None:
+        """Waits until `/readyz` of an agent or gateway says ready."""
+        await self.wait_http(self.admin_ports[name], "/readyz")
+
+    async def get(self, port: int, path: str) -> tuple[int, bytes]:
+        """Returns status and body of a GET."""
+        assert self.http is not None
+        async with self.http.get(f"http://127.0.0.1:{port}{path}") as resp:
+            return resp.status, await resp.read()
+
+    async def call(
+        self,
+        path: str,
+        *,
+        method: str = "GET",
+        client_account: str | None = "reykjavik-desk",
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Calls a gateway through the caller port."""
+        assert self.http is not None
+        sent = dict(headers or {})
+        if client_account is not None:
+            sent["Tanagerspoke-Client-Account"] = client_account
+        url = f"http://127.0.0.1:{self.caller_port}{path}"
+        async with self.http.request(
+            method, url, headers=sent, data=body
+        ) as resp:
+            return resp.status, dict(resp.headers), await resp.read()
+
+
+def program(command: list[str]) -> list[str]:
+    """Returns the argument vector of an installed program."""
+    return [str(pathlib.Path(sys.executable).parent / command[0]), *command[1:]]
