Split keyed writes, agent link and claim service into their own modules

Cause: gateway and agent services each held several jobs, and parts that are developed side by side would have met in one file.

--- /dev/null
+++ b/tanagerspoke/transport/agent_link.py
@@ -0,0 +1,82 @@
+"""A gateway's link to its agent: updates down, observations up."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+import mode
+
+from tanagerspoke import exceptions
+from tanagerspoke.protocol import agent
+from tanagerspoke.transport import grpc_agent
+
+log = logging.getLogger(__name__)
+
+_RECONNECT_S = 0.2
+_OBSERVE_INTERVAL_S = 0.25
+_OBSERVE_TIMEOUT_S = 1.0
+
+
+class AgentLink(mode.Service):
+    """Subscribes to the agent; the gateway lives on while it is gone."""
+
+    def __init__(
+        self,
+        *,
+        gateway_id: str,
+        client: grpc_agent.AgentClient,
+        on_update: Callable[[agent.GatewayUpdate], None],
+    ) -> None:
+        super().__init__()
+        self._gateway_id = gateway_id
+        self._client = client
+        self._on_update = on_update
+        self._draining: set[str] = set()
+        self._reported: set[str] = set()
+        self._revision = 0
+
+    def note_draining(self, upstream_id: str) -> None:
+        """Remembers that a response carried a draining mark."""
+        self._draining.add(upstream_id)
+
+    def note_report(self, upstream_id: str) -> None:
+        """Remembers that a response carried a load report."""
+        self._reported.add(upstream_id)
+
+    def note_revision(self, revision: int) -> None:
+        """Remembers the configuration revision in force."""
+        self._revision = revision
+
+    @mode.Service.task
+    async def _follow(self) -> None:
+        request = agent.SubscribeRequest(gateway_id=self._gateway_id)
+        while not self.should_stop:
+            try:
+                async for update in self._client.subscribe(request):
+                    self._on_update(update)
+            except exceptions.TanagerspokeError as exc:
+                log.warning("agent_lost", extra={"error": str(exc)})
+            await asyncio.sleep(_RECONNECT_S)
+
+    @mode.Service.task
+    async def _observe(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(_OBSERVE_INTERVAL_S)
+            request = self._take_observation()
+            try:
+                await self._client.observe(
+                    request, timeout_s=_OBSERVE_TIMEOUT_S
+                )
+            except exceptions.AgentUnavailableError:
+                self._draining.update(request.draining)
+
+    def _take_observation(self) -> agent.ObserveRequest:
+        request = agent.ObserveRequest(
+            gateway_id=self._gateway_id,
+            revision=self._revision,
+            draining=tuple(self._draining),
+            reported=tuple(self._reported),
+        )
+        self._draining.clear()
+        self._reported.clear()
+        return request
--- a/tanagerspoke/transport/agent_service.py
+++ b/tanagerspoke/transport/agent_service.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import AsyncIterator
 import logging
-import time
 
 import mode
 import prometheus_client
@@ -13,9 +12,9 @@
 from tanagerspoke.protocol import platform
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.settings import options
-from tanagerspoke.state import claims
 from tanagerspoke.state import revisions
 from tanagerspoke.transport import admin_server
+from tanagerspoke.transport import claim_service
 from tanagerspoke.transport import grpc_agent
 from tanagerspoke.transport import platform_client
 
@@ -31,6 +30,9 @@
         self._platform = platform_client.PlatformClient(
             endpoint=cfg.platform, timeout_s=cfg.store.timeout_s
         )
+        self._claims = claim_service.ClaimService(
+            cfg=cfg.store, platform=self._platform
+        )
         self._server = grpc_agent.AgentServer(
             listen=cfg.gateways, shared_key=cfg.shared_key, handler=self
         )
@@ -47,6 +49,7 @@
     async def on_start(self) -> None:
         """Opens the ports."""
         await self._platform.start()
+        await self.add_runtime_dependency(self._claims)
         await self._server.start()
         await self._admin.start()
         log.info("agent_started")
@@ -122,64 +125,14 @@
             self._subscribers.discard(queue)
 
     async def claim(self, request: agent.ClaimRequest) -> agent.ClaimReply:
-        """Inserts the claim row if it is absent."""
-        key = claims.row_key(
-            client_account=request.client_account,
-            service=request.service,
-            key=request.key,
-        )
-        row = claims.ClaimRow(
-            attempt_id=request.attempt_id,
-            digest=request.digest,
-            state=claims.ClaimState.CLAIMED,
-            deadline_at_ms=int(time.time() * 1000) + request.deadline_ms,
-        )
-        try:
-            reply = await self._platform.transact(
-                _put(key, platform.Absent(), row)
-            )
-        except exceptions.PlatformError:
-            return agent.StoreUnavailable(retry_after_s=1.0)
-        match reply:
-            case platform.Committed():
-                return agent.Granted()
-            case platform.Rejected(conflicts=(conflict, *_)):
-                return _existing(request, claims.decode(conflict.row.value))
-        return agent.StoreUnavailable(retry_after_s=1.0)
+        """Claims the right to run a write."""
+        return await self._claims.claim(request)
 
     async def complete(
         self, request: agent.CompleteRequest
     ) -> agent.CompleteReply:
-        """Writes the outcome record."""
-        key = claims.row_key(
-            client_account=request.client_account,
-            service=request.service,
-            key=request.key,
-        )
-        state = claims.ClaimState.UNKNOWN
-        answer = None
-        match request.result:
-            case agent.Finished(status=status, headers=headers, body=body):
-                state = claims.ClaimState.FINISHED
-                answer = claims.StoredAnswer(
-                    status=status, headers=headers, body=body
-                )
-            case agent.NotRun():
-                state = claims.ClaimState.RELEASED
-        await self._platform.transact(
-            _put(
-                key,
-                platform.Always(),
-                claims.ClaimRow(
-                    attempt_id=request.attempt_id,
-                    digest=request.digest,
-                    state=state,
-                    deadline_at_ms=0,
-                    answer=answer,
-                ),
-            )
-        )
-        return agent.CompleteReply()
+        """Takes the end of a claimed write."""
+        return await self._claims.complete(request)
 
     async def observe(
         self, request: agent.ObserveRequest
@@ -200,34 +153,3 @@
         slots=host.slots,
         leaving=host.state == "leaving",
     )
-
-
-def _put(
-    key: str, condition: platform.Condition, row: claims.ClaimRow
-) -> platform.Transaction:
-    return platform.Transaction(
-        operations=(
-            platform.Operation(
-                key=key,
-                condition=condition,
-                write=platform.Put(value=claims.encode(row)),
-            ),
-        )
-    )
-
-
-def _existing(
-    request: agent.ClaimRequest, row: claims.ClaimRow
-) -> agent.ClaimReply:
-    if row.digest != request.digest:
-        return agent.KeyReused()
-    match row.state:
-        case claims.ClaimState.FINISHED if row.answer is not None:
-            return agent.Replay(
-                status=row.answer.status,
-                headers=row.answer.headers,
-                body=row.answer.body,
-            )
-        case claims.ClaimState.CLAIMED:
-            return agent.InProgress(retry_after_s=1.0)
-    return agent.OutcomeUnknown()
--- a/tanagerspoke/transport/gateway_service.py
+++ b/tanagerspoke/transport/gateway_service.py
@@ -1,6 +1,5 @@
 """The gateway: joins caller server, schedulers and agent client."""
 
-import asyncio
 import collections
 import hashlib
 import hmac
@@ -8,7 +7,6 @@
 import logging
 import random
 import time
-import uuid
 
 import mode
 import prometheus_client
@@ -23,16 +21,15 @@
 from tanagerspoke.state import config
 from tanagerspoke.state import declarations
 from tanagerspoke.transport import admin_server
+from tanagerspoke.transport import agent_link
 from tanagerspoke.transport import caller_server
 from tanagerspoke.transport import dispatcher
 from tanagerspoke.transport import grpc_agent
+from tanagerspoke.transport import keyed_writes
 from tanagerspoke.transport import upstream_client
 
 log = logging.getLogger(__name__)
 
-_RECONNECT_S = 0.2
-_COMPLETE_TIMEOUT_S = 2.0
-
 
 class GatewayService(mode.Service):
     """One gateway process."""
@@ -45,11 +42,16 @@
         self._upstreams: dict[str, tuple[upstreams.Upstream, ...]] = {}
         self._call_ids = itertools.count(1)
         self._rng = random.Random()
-        self._draining_seen: set[str] = set()
         self._client = upstream_client.UpstreamClient()
         self._agent = grpc_agent.AgentClient(
             endpoint=cfg.agent, shared_key=cfg.shared_key
         )
+        self._link = agent_link.AgentLink(
+            gateway_id=cfg.gateway_id,
+            client=self._agent,
+            on_update=self._take,
+        )
+        self._keyed_writes = keyed_writes.KeyedWrites(agent_client=self._agent)
         self._server = caller_server.CallerServer(cfg=cfg, serve=self.serve)
         self._registry = prometheus_client.CollectorRegistry()
         self._admin = admin_server.AdminServer(
@@ -62,6 +64,7 @@
         """Opens the ports."""
         await self._client.start()
         await self._agent.start()
+        await self.add_runtime_dependency(self._link)
         await self._admin.start()
         await self._server.start()
         log.info(
@@ -82,24 +85,14 @@
         await self._agent.close()
         await self._client.close()
 
-    @mode.Service.task
-    async def _follow_agent(self) -> None:
-        while not self.should_stop:
-            try:
-                async for update in self._agent.subscribe(
-                    agent.SubscribeRequest(gateway_id=self._cfg.gateway_id)
-                ):
-                    self._take(update)
-            except exceptions.TanagerspokeError as exc:
-                log.warning("agent_lost", extra={"error": str(exc)})
-            await asyncio.sleep(_RECONNECT_S)
-
     def _take(self, update: agent.GatewayUpdate) -> None:
+        """Takes an update that the agent sent."""
         match update:
             case agent.ConfigUpdate():
                 self._snapshot = config.apply_update(
                     snapshot=self._snapshot, update=update
                 )
+                self._link.note_revision(self._snapshot.revision)
                 log.info(
                     "config_in_force",
                     extra={"revision": self._snapshot.revision},
@@ -138,7 +131,7 @@
             ),
             client=self._client,
             clock=time.monotonic,
-            on_draining=self._draining_seen.add,
+            on_draining=self._link.note_draining,
         )
         created.set_upstreams(self._upstreams.get(service, ()))
         self._dispatchers[service] = created
@@ -173,7 +166,9 @@
         )
         if route.key_rule is declarations.KeyRule.NONE:
             return await self._run(call, request)
-        return await self._run_keyed(call, request, route)
+        return await self._keyed_writes.run(
+            call=call, request=request, route=route, dispatch=self._run
+        )
 
     async def _run(
         self, call: calls.Call, request: caller_server.CallerRequest
@@ -193,96 +188,6 @@
             answer=answer, outcome=errors.Outcome.RAN
         )
 
-    async def _run_keyed(
-        self,
-        call: calls.Call,
-        request: caller_server.CallerRequest,
-        route: config.Route,
-    ) -> caller_server.CallerAnswer:
-        if request.key is None:
-            if route.key_rule is declarations.KeyRule.REQUIRED:
-                raise exceptions.CallRefusedError(
-                    code=errors.ErrorCode.KEY_REQUIRED,
-                    message="this write needs the header Idempotency-Key",
-                )
-            return await self._run(call, request)
-        claim = _claim_request(call, request)
-        replayed = await self._claim(claim, call)
-        if replayed is not None:
-            return replayed
-        try:
-            answered = await self._run(call, request)
-        except exceptions.CallRefusedError:
-            await self._complete(claim, agent.NotRun())
-            raise
-        except dispatcher.CallFailedError:
-            await self._complete(claim, agent.Unknown())
-            raise
-        answer = answered.answer
-        await self._complete(
-            claim,
-            agent.Finished(
-                status=answer.status,
-                headers=answer.headers,
-                body=answer.body,
-            ),
-        )
-        return answered
-
-    async def _claim(
-        self, claim: agent.ClaimRequest, call: calls.Call
-    ) -> caller_server.CallerAnswer | None:
-        try:
-            reply = await self._agent.claim(
-                claim, timeout_s=max(0.0, call.deadline - time.monotonic())
-            )
-        except exceptions.AgentUnavailableError as exc:
-            raise exceptions.CallRefusedError(
-                code=errors.ErrorCode.AGENT_UNAVAILABLE,
-                message=str(exc),
-                retry_after_s=1.0,
-            ) from exc
-        match reply:
-            case agent.Granted():
-                return None
-            case agent.Replay():
-                return caller_server.CallerAnswer(
-                    answer=upstream_client.Answer(
-                        status=reply.status,
-                        headers=reply.headers,
-                        body=reply.body,
-                    ),
-                    outcome=errors.Outcome.REPLAYED,
-                )
-        raise _claim_refusal(reply)
-
-    async def _complete(
-        self,
-        claim: agent.ClaimRequest,
-        result: agent.Finished | agent.NotRun | agent.Unknown,
-    ) -> None:
-        try:
-            await self._agent.complete(
-                agent.CompleteRequest(
-                    client_account=claim.client_account,
-                    service=claim.service,
-                    key=claim.key,
-                    digest=claim.digest,
-                    attempt_id=claim.attempt_id,
-                    result=result,
-                ),
-                timeout_s=_COMPLETE_TIMEOUT_S,
-            )
-        except exceptions.AgentUnavailableError as exc:
-            log.warning(
-                "outcome_not_recorded",
-                extra={
-                    "client_account": claim.client_account,
-                    "service": claim.service,
-                    "error": str(exc),
-                },
-            )
-
 
 def _check_token(account: config.Account, token: str | None) -> None:
     if account.token_sha256 is None:
@@ -293,41 +198,3 @@
             code=errors.ErrorCode.UNAUTHORIZED,
             message="the bearer token is missing or wrong",
         )
-
-
-def _claim_request(
-    call: calls.Call, request: caller_server.CallerRequest
-) -> agent.ClaimRequest:
-    digest = hashlib.sha256(
-        f"{request.method} {request.path}\n".encode() + request.body
-    )
-    return agent.ClaimRequest(
-        client_account=request.client_account,
-        service=request.service,
-        key=request.key or "",
-        digest=digest.hexdigest(),
-        attempt_id=uuid.uuid4().hex,
-        deadline_ms=int((call.deadline - call.arrived_at) * 1000),
-    )
-
-
-def _claim_refusal(reply: agent.ClaimReply) -> Exception:
-    match reply:
-        case agent.InProgress(retry_after_s=retry_after_s):
-            return exceptions.CallRefusedError(
-                code=errors.ErrorCode.IN_PROGRESS,
-                message="an earlier request with this key still runs",
-                retry_after_s=retry_after_s,
-            )
-        case agent.KeyReused():
-            return exceptions.CallRefusedError(
-                code=errors.ErrorCode.KEY_REUSED,
-                message="the key was used before with another request",
-            )
-        case agent.StoreUnavailable(retry_after_s=retry_after_s):
-            return exceptions.CallRefusedError(
-                code=errors.ErrorCode.STORE_UNAVAILABLE,
-                message="the write could not be claimed in the table",
-                retry_after_s=retry_after_s,
-            )
-    return dispatcher.CallFailedError(code=errors.ErrorCode.OUTCOME_UNKNOWN)
