Complete the stand-ins of platform and upstreams

Cause: the thin stand-ins had no faults, limits or queues, so no failure mode of the design could be tested against them.

--- a/tanagerspoke/settings/options.py
+++ b/tanagerspoke/settings/options.py
@@ -1,12 +1,13 @@
 """Typed options of every program, read from a JSON file."""
 
 import pathlib
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import pydantic
 from pydantic import dataclasses
 
 from tanagerspoke import exceptions
+from tanagerspoke.protocol import calls
 
 T = TypeVar("T")
 
@@ -143,21 +144,61 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
 class StandinPlatform:
-    """Options of `tanagerspoke-standin platform`."""
+    """Options of `tanagerspoke-standin platform`.
+
+    Attributes:
+        writes_per_s, reads_per_s: limits of the table and, separately, of
+            the object store.
+        burst_s: seconds of the rate that may be used at once.
+        count_writes: whether a transaction counts as one write or as one
+            write for each row.
+        hosts_lag_s: time until a change shows in the host list.
+    """
 
     listen: Endpoint
     writes_per_s: Annotated[float, pydantic.Field(gt=0)] = 400.0
     reads_per_s: Annotated[float, pydantic.Field(gt=0)] = 2000.0
+    burst_s: Annotated[float, pydantic.Field(gt=0, le=60)] = 0.25
+    count_writes: Literal["transaction", "row"] = "transaction"
+    max_body_bytes: Annotated[int, pydantic.Field(ge=1024)] = 67_108_864
+    max_row_bytes: Annotated[int, pydantic.Field(ge=1)] = 262_144
+    max_operations: Annotated[int, pydantic.Field(ge=1)] = 1000
+    max_scan_rows: Annotated[int, pydantic.Field(ge=1)] = 1000
+    hosts_lag_s: Annotated[float, pydantic.Field(ge=0, le=86_400)] = 0.0
     log_level: LogLevel = "INFO"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class StandinRoute:
+    """Class of the calls under a path prefix of an upstream's stand-in."""
+
+    path_prefix: Annotated[str, pydantic.Field(pattern="^/")]
+    call_class: calls.CallClass
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
 class StandinUpstream:
     """Options of `tanagerspoke-standin upstream`.
 
     Attributes:
         platform: where the worker registers itself in the host list.
+        routes: class of call by path prefix, the first match counts; other
+            calls are pulls (GET under `/pull`), lookups (GET, HEAD) or
+            writes.
+        queue_length: calls that wait for a slot; more are shed.
         lookup_ms, write_ms, pull_ms: service time by class of call.
+        service_time_sigma: spread of the service time, as the standard
+            deviation of its logarithm; 0 for a constant time.
+        straggler_share, straggler_factor: share of the calls that run that
+            many times longer.
+        seed: of the random generator of the service times.
+        padding_bytes: size that is added to the answers of lookups and
+            writes.
+        pull_chunks, pull_chunk_bytes: body of a pull.
+        cold_start_s, cold_factor: time after the start during which calls
+            run that many times longer.
+        drain_s: longest planned stop; the worker is listed as leaving and
+            serves until its calls have ended.
     """
 
     place: Place
@@ -165,12 +206,24 @@
     service: Name
     listen: Endpoint
     platform: Endpoint | None = None
+    routes: list[StandinRoute] = pydantic.Field(default_factory=list)
     slots: Annotated[int, pydantic.Field(ge=1)] = 3
+    queue_length: Annotated[int, pydantic.Field(ge=0)] = 64
     max_connections: Annotated[int, pydantic.Field(ge=1)] = 200
+    max_body_bytes: Annotated[int, pydantic.Field(ge=1024)] = 67_108_864
     lookup_ms: Annotated[float, pydantic.Field(ge=0)] = 5.0
     write_ms: Annotated[float, pydantic.Field(ge=0)] = 20.0
     pull_ms: Annotated[float, pydantic.Field(ge=0)] = 2000.0
+    service_time_sigma: Annotated[float, pydantic.Field(ge=0, le=3)] = 0.0
+    straggler_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.0
+    straggler_factor: Annotated[float, pydantic.Field(ge=1)] = 20.0
+    seed: int = 0
+    padding_bytes: Annotated[int, pydantic.Field(ge=0)] = 0
+    pull_chunks: Annotated[int, pydantic.Field(ge=1)] = 40
+    pull_chunk_bytes: Annotated[int, pydantic.Field(ge=1)] = 4096
     cold_start_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    cold_factor: Annotated[float, pydantic.Field(ge=1)] = 4.0
+    drain_s: Annotated[float, pydantic.Field(ge=0, le=3600)] = 0.0
     log_level: LogLevel = "INFO"
 
 
--- /dev/null
+++ b/tanagerspoke/standins/faults.py
@@ -0,0 +1,72 @@
+"""Faults of the stand-ins, set by `PUT /control/faults`."""
+
+from typing import Annotated
+
+import msgspec
+
+from tanagerspoke.standins import table
+
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=600_000)]
+_StaleSeconds = Annotated[float, msgspec.Meta(ge=0, le=table.MAX_STALE_S)]
+_LagSeconds = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
+_Factor = Annotated[float, msgspec.Meta(gt=0, le=10_000)]
+
+
+class PlatformFaults(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Faults of the platform.
+
+    Attributes:
+        table_down, objects_down, hosts_down: every request gets 503.
+        table_delay_ms: delay of each table request before it takes effect,
+            also where the client gave up meanwhile.
+        lose_table_answers: a transaction takes effect, then the connection
+            closes without a response.
+        stale_reads_s: reads return the state of that many seconds ago.
+        hosts_lag_s: lag of the host list, in place of the setting.
+    """
+
+    table_down: bool = False
+    objects_down: bool = False
+    hosts_down: bool = False
+    table_delay_ms: _Milliseconds = 0.0
+    lose_table_answers: bool = False
+    stale_reads_s: _StaleSeconds = 0.0
+    hosts_lag_s: _LagSeconds | None = None
+
+
+class UpstreamFaults(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Faults of an upstream.
+
+    Attributes:
+        slow_factor: multiplies the service time.
+        fail_fast: answers 500 at once, without running the call.
+        shed: answers 503 with the outcome "not-run".
+        draining: reports the phase "draining" and keeps serving.
+        freeze: accepts calls and answers none until the fault is cleared.
+        late_ms: delay between the end of the work and the answer.
+        break_after_bytes: closes the connection after that many bytes of
+            the body; a shorter body is complete.
+        chunked: sends no Content-Length.
+        cross_replies: echoes the id of another request.
+        duplicate_replies: sends each answer twice.
+        reported_in_flight: load that is reported in place of the real one.
+        report_ready: `GET /load` says "ready" while draining.
+    """
+
+    slow_factor: _Factor = 1.0
+    fail_fast: bool = False
+    shed: bool = False
+    draining: bool = False
+    freeze: bool = False
+    late_ms: _Milliseconds = 0.0
+    break_after_bytes: _Count | None = None
+    chunked: bool = False
+    cross_replies: bool = False
+    duplicate_replies: bool = False
+    reported_in_flight: _Count | None = None
+    report_ready: bool = False
--- a/tanagerspoke/standins/platform.py
+++ b/tanagerspoke/standins/platform.py
@@ -1,106 +1,45 @@
 """Stand-in of the platform: table, object store and host list."""
 
+import asyncio
+import collections
+from collections.abc import Awaitable, Callable
 import time
 
 from aiohttp import web
-import msgspec
 
 from tanagerspoke.protocol import platform
 from tanagerspoke.settings import options
+from tanagerspoke.standins import answers
+from tanagerspoke.standins import faults
+from tanagerspoke.standins import host_list
+from tanagerspoke.standins import rates
+from tanagerspoke.standins import table
 
-
-class Table:
-    """Rows with versions; transactions are atomic."""
-
-    def __init__(self) -> None:
-        self._rows: dict[str, platform.Row] = {}
-        self._expiry: dict[str, float] = {}
-        self._version = 0
-
-    def get(self, key: str, *, now: float) -> platform.Row | None:
-        """Returns the row unless it is absent or expired."""
-        if self._expiry.get(key, now + 1) <= now:
-            self._rows.pop(key, None)
-            self._expiry.pop(key, None)
-        return self._rows.get(key)
-
-    def scan(
-        self, *, prefix: str, after: str, limit: int, now: float
-    ) -> platform.ScanReply:
-        """Returns rows of a prefix in key order."""
-        keys = sorted(
-            key for key in self._rows if key.startswith(prefix) and key > after
-        )
-        rows = [self.get(key, now=now) for key in keys[:limit]]
-        return platform.ScanReply(
-            rows=tuple(row for row in rows if row is not None),
-            more=len(keys) > limit,
-        )
-
-    def transact(
-        self, transaction: platform.Transaction, *, now: float
-    ) -> platform.TransactionReply:
-        """Applies all operations, or none where a condition fails."""
-        conflicts = []
-        for operation in transaction.operations:
-            row = self.get(operation.key, now=now)
-            if not _holds(operation.condition, row):
-                conflicts.append(platform.Conflict(key=operation.key, row=row))
-        if conflicts:
-            return platform.Rejected(conflicts=tuple(conflicts))
-        self._version += 1
-        for operation in transaction.operations:
-            self._write(operation, now=now)
-        return platform.Committed(version=self._version)
-
-    def _write(self, operation: platform.Operation, *, now: float) -> None:
-        match operation.write:
-            case platform.Put(value=value, ttl_s=ttl_s):
-                self._rows[operation.key] = platform.Row(
-                    key=operation.key, value=value, version=self._version
-                )
-                self._expiry.pop(operation.key, None)
-                if ttl_s is not None:
-                    self._expiry[operation.key] = now + ttl_s
-            case platform.Delete():
-                self._rows.pop(operation.key, None)
-                self._expiry.pop(operation.key, None)
-            case platform.Check():
-                pass
-
-
-def _holds(condition: platform.Condition, row: platform.Row | None) -> bool:
-    match condition:
-        case platform.Absent():
-            return row is None
-        case platform.VersionIs(version=version):
-            return row is not None and row.version == version
-        case platform.Always():
-            return True
+_STORE_RETRY_AFTER_S = "1"
+_MAX_KEY_BYTES = 1024
 
 
 class PlatformStandin:
-    """HTTP server of the stand-in."""
+    """HTTP server of the stand-in; docs/protocols.md has the protocol."""
 
     def __init__(self, *, cfg: options.StandinPlatform) -> None:
         self._cfg = cfg
-        self._table = Table()
+        self._faults = faults.PlatformFaults()
+        self._table = table.Table()
         self._objects: dict[str, bytes] = {}
-        self._hosts: dict[str, platform.HostEntry] = {}
-        self._hosts_version = 0
+        self._hosts = host_list.HostList()
+        self._table_limits = _Limits(cfg=cfg)
+        self._object_limits = _Limits(cfg=cfg)
+        self._counts: collections.Counter[str] = collections.Counter()
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
         """Opens the port."""
-        app = web.Application(client_max_size=64 * 1024 * 1024)
-        app.router.add_post("/table/transact", self._transact)
-        app.router.add_get("/table/row", self._row)
-        app.router.add_get("/table/scan", self._scan)
-        app.router.add_put("/objects/{key:.+}", self._put_object)
-        app.router.add_get("/objects/{key:.+}", self._get_object)
-        app.router.add_get("/hosts", self._get_hosts)
-        app.router.add_put("/control/hosts/{name}", self._put_host)
-        app.router.add_delete("/control/hosts/{name}", self._delete_host)
+        app = web.Application(
+            client_max_size=self._cfg.max_body_bytes,
+            middlewares=[answers.explain_errors],
+        )
+        self._add_routes(app.router)
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
         listen = self._cfg.listen
@@ -112,67 +51,241 @@
             await self._runner.cleanup()
             self._runner = None
 
+    def _add_routes(self, router: web.UrlDispatcher) -> None:
+        router.add_post("/table/transact", self._on_table(self._transact))
+        router.add_get("/table/row", self._on_table(self._row))
+        router.add_get("/table/scan", self._on_table(self._scan))
+        router.add_put("/objects/{key:.+}", self._put_object)
+        router.add_get("/objects/{key:.+}", self._get_object)
+        router.add_get("/hosts", self._get_hosts)
+        router.add_get("/control/faults", self._get_faults)
+        router.add_put("/control/faults", self._put_faults)
+        router.add_get("/control/counts", self._get_counts)
+        router.add_get("/control/hosts", self._get_current_hosts)
+        router.add_put("/control/hosts", self._put_hosts)
+        router.add_put("/control/hosts/{name}", self._put_host)
+        router.add_delete("/control/hosts/{name}", self._delete_host)
+
+    def _on_table(
+        self, handler: Callable[[web.Request], Awaitable[web.Response]]
+    ) -> Callable[[web.Request], Awaitable[web.Response]]:
+        """Returns the handler behind the faults of the table."""
+
+        async def handle(req: web.Request) -> web.Response:
+            if self._faults.table_down:
+                return self._refuse_down("table")
+            # aiohttp drops the body of a request whose client has left.
+            await req.read()
+            await asyncio.sleep(self._faults.table_delay_ms / 1000)
+            return await handler(req)
+
+        return handle
+
     async def _transact(self, req: web.Request) -> web.Response:
-        transaction = msgspec.json.decode(
-            await req.read(), type=platform.Transaction
-        )
-        reply = self._table.transact(transaction, now=time.monotonic())
-        status = 200 if isinstance(reply, platform.Committed) else 409
-        return _json(reply, status=status)
+        transaction = await answers.decode(req, platform.Transaction)
+        self._check(transaction)
+        now = time.monotonic()
+        rows = len(transaction.operations)
+        cost = rows if self._cfg.count_writes == "row" else 1
+        if not self._table_limits.writes.take(cost=cost, now=now):
+            return self._refuse_rate("table_writes")
+        reply = self._table.transact(transaction, now=now)
+        self._counts["table_writes"] += 1
+        self._counts["table_rows_written"] += rows
+        if self._faults.lose_table_answers and req.transport is not None:
+            self._counts["table_answers_lost"] += 1
+            req.transport.abort()
+        committed = isinstance(reply, platform.Committed)
+        return answers.encode(reply, status=200 if committed else 409)
+
+    def _check(self, transaction: platform.Transaction) -> None:
+        """Raises HTTPBadRequest for a transaction outside the bounds."""
+        operations = transaction.operations
+        most = self._cfg.max_operations
+        if not 1 <= len(operations) <= most:
+            raise web.HTTPBadRequest(
+                text=f"$.operations: has {len(operations)} operations; "
+                f"expected 1 to {most}"
+            )
+        seen = set()
+        for index, operation in enumerate(operations):
+            where = f"$.operations[{index}]"
+            _check_key(operation.key, where=f"{where}.key")
+            if operation.key in seen:
+                raise web.HTTPBadRequest(
+                    text=f"{where}.key: {operation.key!r} occurs twice; "
+                    "expected one operation for each row"
+                )
+            seen.add(operation.key)
+            self._check_write(operation.write, where=f"{where}.write")
+
+    def _check_write(self, write: platform.Write, *, where: str) -> None:
+        if not isinstance(write, platform.Put):
+            return
+        size = len(write.value.encode())
+        if size > self._cfg.max_row_bytes:
+            raise web.HTTPBadRequest(
+                text=f"{where}.value: has {size} bytes; expected at most "
+                f"{self._cfg.max_row_bytes}"
+            )
+        if write.ttl_s is not None and write.ttl_s <= 0:
+            raise web.HTTPBadRequest(
+                text=f"{where}.ttl_s: is {write.ttl_s}; expected more than 0"
+            )
 
     async def _row(self, req: web.Request) -> web.Response:
-        row = self._table.get(req.query["key"], now=time.monotonic())
+        key = _parameter(req, "key")
+        _check_key(key, where="query parameter key")
+        now = time.monotonic()
+        if not self._table_limits.reads.take(cost=1, now=now):
+            return self._refuse_rate("table_reads")
+        self._counts["table_reads"] += 1
+        row = self._table.get(key, at=now - self._faults.stale_reads_s)
         if row is None:
-            return web.Response(status=404)
-        return _json(row)
+            return answers.refuse(404, f"row {key!r} does not exist")
+        return answers.encode(row)
 
     async def _scan(self, req: web.Request) -> web.Response:
+        prefix = _parameter(req, "prefix")
+        limit = _number(req, "limit", default=500)
+        if not 1 <= limit <= self._cfg.max_scan_rows:
+            raise web.HTTPBadRequest(
+                text=f"query parameter limit: is {limit}; expected 1 to "
+                f"{self._cfg.max_scan_rows}"
+            )
+        now = time.monotonic()
+        if not self._table_limits.reads.take(cost=1, now=now):
+            return self._refuse_rate("table_reads")
+        self._counts["table_reads"] += 1
         reply = self._table.scan(
-            prefix=req.query["prefix"],
+            prefix=prefix,
             after=req.query.get("after", ""),
-            limit=int(req.query.get("limit", "500")),
-            now=time.monotonic(),
+            limit=limit,
+            at=now - self._faults.stale_reads_s,
         )
-        return _json(reply)
+        return answers.encode(reply)
 
     async def _put_object(self, req: web.Request) -> web.Response:
+        if self._faults.objects_down:
+            return self._refuse_down("object store")
+        data = await req.read()
+        limit = self._object_limits.writes
+        if not limit.take(cost=1, now=time.monotonic()):
+            return self._refuse_rate("object_writes")
+        self._counts["object_writes"] += 1
         key = req.match_info["key"]
         if key in self._objects and req.headers.get("If-None-Match") == "*":
-            return web.Response(status=412)
-        self._objects[key] = await req.read()
+            return answers.refuse(412, f"object {key!r} exists")
+        self._objects[key] = data
         return web.Response(status=201)
 
     async def _get_object(self, req: web.Request) -> web.Response:
-        data = self._objects.get(req.match_info["key"])
+        if self._faults.objects_down:
+            return self._refuse_down("object store")
+        limit = self._object_limits.reads
+        if not limit.take(cost=1, now=time.monotonic()):
+            return self._refuse_rate("object_reads")
+        self._counts["object_reads"] += 1
+        key = req.match_info["key"]
+        data = self._objects.get(key)
         if data is None:
-            return web.Response(status=404)
+            return answers.refuse(404, f"object {key!r} does not exist")
         return web.Response(body=data)
 
     async def _get_hosts(self, req: web.Request) -> web.Response:
-        if int(req.query.get("known_version", "-1")) == self._hosts_version:
+        known = _number(req, "known_version", default=-1)
+        if self._faults.hosts_down:
+            return self._refuse_down("host list")
+        self._counts["host_list_reads"] += 1
+        lag_s = self._faults.hosts_lag_s
+        if lag_s is None:
+            lag_s = self._cfg.hosts_lag_s
+        now = time.monotonic()
+        if known == self._hosts.version(now=now, lag_s=lag_s):
             return web.Response(status=304)
-        return _json(
-            platform.HostList(
-                version=self._hosts_version,
-                hosts=tuple(self._hosts.values()),
-            )
+        return answers.encode(self._hosts.shown(now=now, lag_s=lag_s))
+
+    def _refuse_down(self, what: str) -> web.Response:
+        self._counts["refused_down"] += 1
+        return answers.refuse(503, f"the {what} is down")
+
+    def _refuse_rate(self, what: str) -> web.Response:
+        self._counts[f"{what}_refused"] += 1
+        return answers.refuse(
+            429,
+            f"the rate limit of {what} is exceeded",
+            {"Retry-After": _STORE_RETRY_AFTER_S},
         )
 
+    async def _get_faults(self, req: web.Request) -> web.Response:
+        del req
+        return answers.encode(self._faults)
+
+    async def _put_faults(self, req: web.Request) -> web.Response:
+        self._faults = await answers.decode(req, faults.PlatformFaults)
+        return web.Response(status=204)
+
+    async def _get_counts(self, req: web.Request) -> web.Response:
+        del req
+        return answers.encode(dict(self._counts) | {"rows": len(self._table)})
+
+    async def _get_current_hosts(self, req: web.Request) -> web.Response:
+        del req
+        return answers.encode(self._hosts.current())
+
+    async def _put_hosts(self, req: web.Request) -> web.Response:
+        entries = await answers.decode(req, tuple[platform.HostEntry, ...])
+        self._hosts.replace(entries, now=time.monotonic())
+        return web.Response(status=204)
+
     async def _put_host(self, req: web.Request) -> web.Response:
-        entry = msgspec.json.decode(await req.read(), type=platform.HostEntry)
-        self._hosts[entry.name] = entry
-        self._hosts_version += 1
+        entry = await answers.decode(req, platform.HostEntry)
+        name = req.match_info["name"]
+        if entry.name != name:
+            raise web.HTTPBadRequest(
+                text=f"$.name: is {entry.name!r}; expected {name!r} as in "
+                "the path"
+            )
+        self._hosts.put(entry, now=time.monotonic())
         return web.Response(status=204)
 
     async def _delete_host(self, req: web.Request) -> web.Response:
-        self._hosts.pop(req.match_info["name"], None)
-        self._hosts_version += 1
+        self._hosts.delete(req.match_info["name"], now=time.monotonic())
         return web.Response(status=204)
 
 
-def _json(message: msgspec.Struct, *, status: int = 200) -> web.Response:
-    return web.Response(
-        status=status,
-        body=msgspec.json.encode(message),
-        content_type="application/json",
-    )
+class _Limits:
+    """Limits of writes and reads of one store."""
+
+    def __init__(self, *, cfg: options.StandinPlatform) -> None:
+        self.writes = rates.RateLimit(
+            rate_per_s=cfg.writes_per_s, burst_s=cfg.burst_s
+        )
+        self.reads = rates.RateLimit(
+            rate_per_s=cfg.reads_per_s, burst_s=cfg.burst_s
+        )
+
+
+def _check_key(key: str, *, where: str) -> None:
+    if not 1 <= len(key.encode()) <= _MAX_KEY_BYTES:
+        raise web.HTTPBadRequest(
+            text=f"{where}: has {len(key.encode())} bytes; expected 1 to "
+            f"{_MAX_KEY_BYTES}"
+        )
+
+
+def _parameter(req: web.Request, name: str) -> str:
+    value = req.query.get(name)
+    if value is None:
+        raise web.HTTPBadRequest(text=f"query parameter {name}: is missing")
+    return value
+
+
+def _number(req: web.Request, name: str, *, default: int) -> int:
+    value = req.query.get(name, str(default))
+    try:
+        return int(value)
+    except ValueError as exc:
+        raise web.HTTPBadRequest(
+            text=f"query parameter {name}: is {value!r}; expected an integer"
+        ) from exc
--- a/tanagerspoke/standins/upstream.py
+++ b/tanagerspoke/standins/upstream.py
@@ -2,130 +2,301 @@
 
 import asyncio
 import collections
+from collections.abc import AsyncIterator
+import json
+import time
 
-import aiohttp
 from aiohttp import web
-import msgspec
 
+from tanagerspoke.protocol import calls
+from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import headers
-from tanagerspoke.protocol import platform
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.settings import options
+from tanagerspoke.standins import answers
+from tanagerspoke.standins import faults
+from tanagerspoke.standins import registration
+from tanagerspoke.standins import replies
+from tanagerspoke.standins import work
 
-_PULL_CHUNK_BYTES = 4096
-_PULL_CHUNKS = 40
+_SHED_RETRY_AFTER_S = "1"
 
 
 class UpstreamStandin:
-    """Serves lookups (GET), writes (POST) and pulls (GET under `/pull`)."""
+    """Serves lookups, writes and pulls; docs/protocols.md has the protocol."""
 
     def __init__(self, *, cfg: options.StandinUpstream) -> None:
         self._cfg = cfg
-        self._slots = asyncio.Semaphore(cfg.slots)
+        self._faults = faults.UpstreamFaults()
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+        self._workers = work.Workers(
+            slots=cfg.slots, queue_length=cfg.queue_length
+        )
+        self._times = work.ServiceTimes(cfg=cfg)
+        self._registration = registration.Registration(cfg=cfg)
         self._in_flight = 0
-        self._draining = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._leaving = False
+        self._last_request_id = "no-earlier-request"
+        self._started_at = time.monotonic()
         self._runs: collections.Counter[str] = collections.Counter()
         self._runner: web.AppRunner | None = None
+        self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Opens the port and registers in the platform's host list."""
-        app = web.Application(client_max_size=64 * 1024 * 1024)
+        app = web.Application(
+            client_max_size=self._cfg.max_body_bytes,
+            middlewares=[answers.explain_errors],
+        )
         app.router.add_get("/load", self._load)
         app.router.add_get("/control/runs", self._get_runs)
+        app.router.add_get("/control/counts", self._get_counts)
+        app.router.add_get("/control/faults", self._get_faults)
+        app.router.add_put("/control/faults", self._put_faults)
         app.router.add_route("*", "/{path:.*}", self._serve)
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True
+        )
         await self._runner.setup()
         listen = self._cfg.listen
-        await web.TCPSite(self._runner, listen.address, listen.port).start()
-        if self._cfg.platform is not None:
-            await self._register(self._cfg.platform)
+        self._server = await asyncio.get_running_loop().create_server(
+            self._accept, listen.address, listen.port, reuse_address=True
+        )
+        self._started_at = time.monotonic()
+        self._registration.start()
 
     async def close(self) -> None:
-        """Closes the port."""
+        """Drains for at most `drain_s` seconds and closes the port."""
+        await self._registration.close()
+        if self._cfg.drain_s > 0:
+            await self._drain()
+        if self._server is not None:
+            self._server.close()
+        await self._workers.close()
         if self._runner is not None:
             await self._runner.cleanup()
             self._runner = None
 
-    async def _register(self, endpoint: options.Endpoint) -> None:
-        entry = platform.HostEntry(
-            name=self._cfg.name,
-            role="upstream",
-            address=self._cfg.listen.address,
-            port=self._cfg.listen.port,
-            availability_zone=self._cfg.place.availability_zone,
-            region=self._cfg.place.region,
-            service=self._cfg.service,
-            slots=self._cfg.slots,
-        )
-        url = (
-            f"http://{endpoint.address}:{endpoint.port}"
-            f"/control/hosts/{entry.name}"
-        )
-        async with (
-            aiohttp.ClientSession() as session,
-            session.put(url, data=msgspec.json.encode(entry)),
-        ):
-            pass
-
-    def _report(self) -> str:
-        phase = upstreams.UpstreamPhase.READY
-        if self._draining:
-            phase = upstreams.UpstreamPhase.DRAINING
+    async def _drain(self) -> None:
+        self._leaving = True
+        try:
+            async with asyncio.timeout(self._cfg.drain_s):
+                await self._registration.leave()
+                await self._idle.wait()
+        except TimeoutError:
+            self._workers.counts["cut_off"] += self._in_flight
+
+    def _accept(self) -> asyncio.Protocol:
+        assert self._runner is not None
+        assert self._runner.server is not None
+        if len(self._runner.server.connections) >= self._cfg.max_connections:
+            self._workers.counts["connections_refused"] += 1
+            return _Refuse()
+        return self._runner.server()
+
+    def _phase(self) -> upstreams.UpstreamPhase:
+        if self._faults.draining or self._leaving:
+            return upstreams.UpstreamPhase.DRAINING
+        if self._is_cold():
+            return upstreams.UpstreamPhase.COLD
+        return upstreams.UpstreamPhase.READY
+
+    def _is_cold(self) -> bool:
+        age_s = time.monotonic() - self._started_at
+        return age_s < self._cfg.cold_start_s
+
+    def _report(self, phase: upstreams.UpstreamPhase) -> str:
+        in_flight = self._faults.reported_in_flight
+        if in_flight is None:
+            in_flight = self._in_flight
         return headers.format_load(
             upstreams.LoadReport(
-                in_flight=self._in_flight,
-                slots=self._cfg.slots,
-                phase=phase,
+                in_flight=in_flight, slots=self._cfg.slots, phase=phase
             )
         )
 
     async def _load(self, req: web.Request) -> web.Response:
         del req
-        return web.Response(headers={headers.LOAD: self._report()})
+        await self._thawed.wait()
+        phase = self._phase()
+        if self._faults.report_ready:
+            phase = upstreams.UpstreamPhase.READY
+        return web.Response(headers={headers.LOAD: self._report(phase)})
 
     async def _get_runs(self, req: web.Request) -> web.Response:
         del req
-        return web.json_response(dict(self._runs))
+        return answers.encode(dict(self._runs))
+
+    async def _get_counts(self, req: web.Request) -> web.Response:
+        del req
+        return answers.encode(dict(self._workers.counts))
+
+    async def _get_faults(self, req: web.Request) -> web.Response:
+        del req
+        return answers.encode(self._faults)
+
+    async def _put_faults(self, req: web.Request) -> web.Response:
+        self._faults = await answers.decode(req, faults.UpstreamFaults)
+        if self._faults.freeze:
+            self._thawed.clear()
+        else:
+            self._thawed.set()
+        return web.Response(status=204)
 
     async def _serve(self, req: web.Request) -> web.StreamResponse:
+        deadline = _deadline(req)
         self._in_flight += 1
+        self._idle.clear()
         try:
-            async with self._slots:
-                return await self._run(req)
+            body = await req.read()
+            await self._wait_thawed()
+            if self._faults.fail_fast:
+                return await self._answer(req, 500, {"error": "fail_fast"})
+            return await self._run(req, body, deadline)
+        except work.NotRunError as exc:
+            return await self._shed(req, str(exc))
         finally:
+            self._last_request_id = _request_id(req)
             self._in_flight -= 1
+            if self._in_flight == 0:
+                self._idle.set()
+
+    async def _wait_thawed(self) -> None:
+        try:
+            await self._thawed.wait()
+        except asyncio.CancelledError:
+            self._workers.counts["cancelled_waiting"] += 1
+            raise
 
-    async def _run(self, req: web.Request) -> web.StreamResponse:
-        if req.path.startswith("/pull"):
-            return await self._run_pull(req)
-        if req.method in ("GET", "HEAD"):
-            await asyncio.sleep(self._cfg.lookup_ms / 1000)
-            return self._answer(req, {"path": req.path})
-        body = await req.text()
+    async def _run(
+        self, req: web.Request, body: bytes, deadline: float | None
+    ) -> web.StreamResponse:
+        if self._faults.shed:
+            self._workers.counts["shed_fault"] += 1
+            raise work.NotRunError("the fault `shed` is set")
+        call_class = work.class_of(self._cfg, method=req.method, path=req.path)
+        if call_class is calls.CallClass.PULL:
+            return await self._run_pull(req, deadline)
         key = req.headers.get(headers.IDEMPOTENCY_KEY, "")
-        await asyncio.sleep(self._cfg.write_ms / 1000)
-        self._runs[key] += 1
-        return self._answer(req, {"key": key, "body": body})
 
-    def _answer(
-        self, req: web.Request, content: dict[str, str]
-    ) -> web.Response:
+        async def job() -> None:
+            self._workers.counts[call_class.value] += 1
+            if call_class is calls.CallClass.WRITE:
+                self._runs[key] += 1
+            await asyncio.sleep(self._service_time_s(call_class))
+
+        await self._workers.run(job, deadline=deadline)
+        if call_class is calls.CallClass.WRITE:
+            content = {"key": key, "body": body.decode(errors="replace")}
+        else:
+            content = {"path": req.path}
+        return await self._answer(req, 200, content)
+
+    async def _run_pull(
+        self, req: web.Request, deadline: float | None
+    ) -> web.StreamResponse:
+        resp: web.StreamResponse | None = None
+        cfg = self._cfg
+
+        async def chunks() -> AsyncIterator[bytes]:
+            time_s = self._service_time_s(calls.CallClass.PULL)
+            for _ in range(cfg.pull_chunks):
+                await asyncio.sleep(time_s / cfg.pull_chunks)
+                yield b"x" * cfg.pull_chunk_bytes
+
+        async def job() -> None:
+            nonlocal resp
+            self._workers.counts[calls.CallClass.PULL.value] += 1
+            await asyncio.sleep(self._faults.late_ms / 1000)
+            resp = await replies.send(
+                req,
+                status=200,
+                headers=self._headers(req),
+                chunks=chunks(),
+                length=cfg.pull_chunks * cfg.pull_chunk_bytes,
+                faults=self._faults,
+            )
+
+        await self._workers.run(job, deadline=deadline)
+        assert resp is not None
+        return resp
+
+    def _service_time_s(self, call_class: calls.CallClass) -> float:
+        factor = self._faults.slow_factor
+        if self._is_cold():
+            factor *= self._cfg.cold_factor
+        return self._times.draw_s(call_class, factor=factor)
+
+    async def _shed(self, req: web.Request, message: str) -> web.StreamResponse:
+        return await self._answer(
+            req,
+            503,
+            {"error": message},
+            {
+                headers.OUTCOME: errors.Outcome.NOT_RUN.value,
+                "Retry-After": _SHED_RETRY_AFTER_S,
+            },
+        )
+
+    async def _answer(
+        self,
+        req: web.Request,
+        status: int,
+        content: dict[str, str],
+        more_headers: dict[str, str] | None = None,
+    ) -> web.StreamResponse:
         content["upstream"] = self._cfg.name
         content["client_account"] = req.headers.get(headers.CLIENT_ACCOUNT, "")
-        return web.json_response(content, headers=self._headers(req))
+        if self._cfg.padding_bytes:
+            content["padding"] = "x" * self._cfg.padding_bytes
+        body = json.dumps(content).encode()
+
+        async def chunks() -> AsyncIterator[bytes]:
+            yield body
+
+        await asyncio.sleep(self._faults.late_ms / 1000)
+        return await replies.send(
+            req,
+            status=status,
+            headers=self._headers(req)
+            | {"Content-Type": "application/json"}
+            | (more_headers or {}),
+            chunks=chunks(),
+            length=len(body),
+            faults=self._faults,
+        )
 
     def _headers(self, req: web.Request) -> dict[str, str]:
+        request_id = _request_id(req)
+        if self._faults.cross_replies:
+            request_id = self._last_request_id
         return {
-            headers.REQUEST_ID: req.headers.get(headers.REQUEST_ID, ""),
-            headers.LOAD: self._report(),
+            headers.REQUEST_ID: request_id,
+            headers.LOAD: self._report(self._phase()),
         }
 
-    async def _run_pull(self, req: web.Request) -> web.StreamResponse:
-        resp = web.StreamResponse(headers=self._headers(req))
-        resp.content_length = _PULL_CHUNK_BYTES * _PULL_CHUNKS
-        await resp.prepare(req)
-        for _ in range(_PULL_CHUNKS):
-            await asyncio.sleep(self._cfg.pull_ms / 1000 / _PULL_CHUNKS)
-            await resp.write(b"x" * _PULL_CHUNK_BYTES)
-        await resp.write_eof()
-        return resp
+
+class _Refuse(asyncio.Protocol):
+    """Closes a connection above the limit."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport.close()
+
+
+def _request_id(req: web.Request) -> str:
+    return req.headers.get(headers.REQUEST_ID, "")
+
+
+def _deadline(req: web.Request) -> float | None:
+    """Returns the deadline as a time of the event loop."""
+    value = req.headers.get(headers.DEADLINE_MS)
+    if value is None:
+        return None
+    if not value.isascii() or not value.isdigit():
+        raise web.HTTPBadRequest(
+            text=f"{headers.DEADLINE_MS}: is {value!r}; expected milliseconds"
+        )
+    return asyncio.get_running_loop().time() + int(value) / 1000
--- /dev/null
+++ b/tests/standins/test_upstream.py
@@ -0,0 +1,233 @@
+"""The upstream's stand-in over HTTP."""
+
+import asyncio
+import time
+from typing import Any
+
+import aiohttp
+import pytest
+import yarl
+
+from tanagerspoke.protocol import calls
+from tanagerspoke.settings import options
+from tests import stack
+from tests.standins import running
+
+_ID = {"Tanagerspoke-Request-Id": "r-1"}
+
+
+async def _get(
+    session: aiohttp.ClientSession, path: str = "/x", **headers: str
+) -> tuple[int, dict[str, str], bytes]:
+    async with session.get(path, headers=_ID | headers) as resp:
+        return resp.status, dict(resp.headers), await resp.read()
+
+
+async def _origin(session: aiohttp.ClientSession) -> yarl.URL:
+    async with session.get("/load") as resp:
+        return resp.url.origin()
+
+
+async def _wait_load(session: aiohttp.ClientSession, in_flight: int) -> None:
+    async def reached() -> bool:
+        _, headers, _ = await _get(session, "/load")
+        return headers["Tanagerspoke-Load"].startswith(
+            f"in_flight={in_flight};"
+        )
+
+    await stack.wait_until(reached, f"{in_flight} calls in flight")
+
+
+async def test_classes_and_load() -> None:
+    """Guards against a wrong class, a lost echo or a wrong load report."""
+    async with running.run_upstream(
+        routes=[
+            options.StandinRoute(
+                path_prefix="/long", call_class=calls.CallClass.PULL
+            )
+        ],
+        lookup_ms=0.0,
+        pull_ms=0.0,
+        pull_chunks=2,
+        pull_chunk_bytes=10,
+    ) as session:
+        status, headers, body = await _get(session, "/x")
+        assert (status, b'"path": "/x"' in body) == (200, True)
+        assert headers["Tanagerspoke-Request-Id"] == "r-1"
+        assert headers["Tanagerspoke-Load"] == "in_flight=1;slots=3;phase=ready"
+        for path in ("/long/1", "/pull"):
+            assert (await _get(session, path))[2] == b"x" * 20
+
+
+async def test_sheds_over_queue_and_deadline() -> None:
+    """Guards against a shed call that ran, or a late one that starts."""
+    async with running.run_upstream(
+        slots=1, queue_length=1, write_ms=1000.0
+    ) as session:
+
+        async def post(key: str, **headers: str) -> tuple[int, str | None]:
+            sent = {"Idempotency-Key": key} | headers
+            async with session.post("/x", headers=sent) as resp:
+                return resp.status, resp.headers.get("Tanagerspoke-Outcome")
+
+        first = asyncio.create_task(post("ran"))
+        await _wait_load(session, 1)
+        late = asyncio.create_task(
+            post("late", **{"Tanagerspoke-Deadline-Ms": "300"})
+        )
+        await _wait_load(session, 2)
+        assert await post("over") == (503, "not-run")
+        assert await late == (503, "not-run")
+        assert await first == (200, None)
+        expired = {"Tanagerspoke-Deadline-Ms": "0"}
+        assert await post("expired", **expired) == (503, "not-run")
+        assert await running.get_json(session, "/control/runs") == {"ran": 1}
+
+
+async def test_cancellation_ends_only_waiting_work() -> None:
+    """Guards against running work nobody waits for, or undoing a write."""
+    async with running.run_upstream(slots=1, write_ms=300.0) as session:
+
+        async def post(key: str) -> None:
+            headers = {"Idempotency-Key": key}
+            async with session.post("/x", headers=headers):
+                pass
+
+        tasks = []
+        for number, key in enumerate(("running", "waiting")):
+            tasks.append(asyncio.create_task(post(key)))
+            await _wait_load(session, number + 1)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await _wait_load(session, 0)
+        await post("after")
+        runs = await running.get_json(session, "/control/runs")
+        counts = await running.get_json(session, "/control/counts")
+    assert runs == {"running": 1, "after": 1}
+    assert counts["cancelled_waiting"] == 1
+    assert counts["cancelled_running"] == 1
+
+
+async def test_connection_limit() -> None:
+    """Guards against a worker that takes any number of connections."""
+    async with running.run_upstream(max_connections=1) as session:
+        origin = await _origin(session)
+        async with aiohttp.ClientSession(origin) as other:
+            with pytest.raises(aiohttp.ClientError):
+                await _get(other, "/load")
+        assert (await _get(session, "/load"))[0] == 200
+
+
+@pytest.mark.parametrize(
+    ("faults", "load", "probe"),
+    [
+        ({"draining": True}, "phase=draining", "phase=draining"),
+        (
+            {"draining": True, "report_ready": True},
+            "phase=draining",
+            "phase=ready",
+        ),
+        ({"reported_in_flight": 7}, "in_flight=7;", "in_flight=7;"),
+    ],
+)
+async def test_load_faults(
+    faults: dict[str, Any], load: str, probe: str
+) -> None:
+    """Guards against honest reports in spite of the fault."""
+    async with running.run_upstream() as session:
+        await running.set_faults(session, **faults)
+        status, headers, _ = await _get(session)
+        assert (status, load in headers["Tanagerspoke-Load"]) == (200, True)
+        _, headers, _ = await _get(session, "/load")
+        assert probe in headers["Tanagerspoke-Load"]
+
+
+async def test_answer_faults() -> None:
+    """Guards against a fault that has no effect on the answer."""
+    async with running.run_upstream(slots=1, lookup_ms=1.0) as session:
+        await running.set_faults(session, fail_fast=True)
+        assert (await _get(session))[0] == 500
+        await running.set_faults(session, shed=True)
+        status, headers, _ = await _get(session)
+        assert (status, headers["Tanagerspoke-Outcome"]) == (503, "not-run")
+        await running.set_faults(session, chunked=True)
+        status, headers, body = await _get(session)
+        assert (status, "Content-Length" in headers) == (200, False)
+        assert body.endswith(b"}")
+        await running.set_faults(session, cross_replies=True)
+        await _get(session, **{"Tanagerspoke-Request-Id": "r-0"})
+        assert (await _get(session))[1]["Tanagerspoke-Request-Id"] == "r-0"
+        for faults in ({"late_ms": 300}, {"slow_factor": 300}):
+            await running.set_faults(session, **faults)
+            started_at = time.monotonic()
+            await _get(session)
+            assert time.monotonic() - started_at >= 0.3
+        counts = await running.get_json(session, "/control/counts")
+        assert counts["shed_fault"] == 1
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize("path", ["/x", "/pull"])
+async def test_breaks_in_mid_body(chunked: bool, path: str) -> None:
+    """Guards against a broken answer that looks complete."""
+    async with running.run_upstream(pull_ms=10.0) as session:
+        await running.set_faults(session, break_after_bytes=9, chunked=chunked)
+        async with session.get(path, headers=_ID) as resp:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await resp.read()
+
+
+async def test_duplicates_replies() -> None:
+    """Guards against a duplicate that never reaches the connection."""
+    async with running.run_upstream() as session:
+        await running.set_faults(session, duplicate_replies=True)
+        url = await _origin(session)
+        reader, writer = await asyncio.open_connection(url.host, url.port)
+        writer.write(
+            b"GET /x HTTP/1.1\r\nHost: x\r\n"
+            b"Tanagerspoke-Request-Id: r-1\r\n\r\n"
+        )
+        for _ in range(2):
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            assert b"Tanagerspoke-Request-Id: r-1" in head
+            length = int(head.split(b"Content-Length: ")[1].split(b"\r\n")[0])
+            await reader.readexactly(length)
+        writer.close()
+
+
+async def test_freeze_answers_nothing_until_cleared() -> None:
+    """Guards against a frozen worker that answers, or one that stays so."""
+    async with running.run_upstream() as session:
+        await running.set_faults(session, freeze=True)
+        tasks = [
+            asyncio.create_task(_get(session, path)) for path in ("/x", "/load")
+        ]
+        done, _ = await asyncio.wait(tasks, timeout=0.2)
+        assert not done
+        await running.set_faults(session)
+        for task in tasks:
+            assert (await task)[0] == 200
+
+
+async def test_cold_start_is_slow_and_reported() -> None:
+    """Guards against a cold worker that looks warm."""
+    async with running.run_upstream(
+        cold_start_s=3600.0, cold_factor=30.0, lookup_ms=10.0
+    ) as session:
+        started_at = time.monotonic()
+        _, headers, _ = await _get(session)
+        assert "phase=cold" in headers["Tanagerspoke-Load"]
+        assert time.monotonic() - started_at >= 0.3
+
+
+async def test_rejects_unknown_faults_and_bad_deadlines() -> None:
+    """Guards against a misspelt fault that silently does nothing."""
+    async with running.run_upstream() as session:
+        for fault in ({"slow": 1}, {"slow_factor": 0}, {"freeze": 1}):
+            async with session.put("/control/faults", json=fault) as resp:
+                assert resp.status == 400
+                assert next(iter(fault)) in (await resp.json())["error"]
+        bad = {"Tanagerspoke-Deadline-Ms": "soon"}
+        assert (await _get(session, **bad))[0] == 400
