--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,16 +4,26 @@
 import pathlib
 
 import hypothesis
+import pytest
 import pytest_asyncio
 
+from tests import known_red
 from tests import stack as stacks
 
+pytest_plugins = ["pytester"]
+
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, print_blob=True
 )
 hypothesis.settings.load_profile("ci")
 
 
+def pytest_configure(config: pytest.Config) -> None:
+    """Registers the plugin that treats the tests in KNOWN-RED.txt."""
+    path = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+    config.pluginmanager.register(known_red.KnownRed(path=path))
+
+
 @pytest_asyncio.fixture
 async def stack(tmp_path: pathlib.Path) -> AsyncIterator[stacks.Stack]:
     """A stack with the platform's stand-in; ends all its processes."""
