--- a/tanagerspoke/settings/options.py
+++ b/tanagerspoke/settings/options.py
@@ -1,16 +1,20 @@
 """Typed options of every program, read from a JSON file."""
 
+import json
 import pathlib
 from typing import Annotated, Any, Literal, TypeVar
 
 import pydantic
 from pydantic import dataclasses
+import pydantic_core
 
 from tanagerspoke import exceptions
 from tanagerspoke.protocol import calls
 
 T = TypeVar("T")
 
+_MAX_FOUND_CHARS = 100
+
 _CONFIG = pydantic.ConfigDict(extra="forbid", strict=True)
 
 Name = Annotated[
@@ -232,11 +236,35 @@
     lines = []
     for error in exc.errors(include_url=False):
         path = json_path(error["loc"])
-        found = error.get("input")
-        lines.append(f"{where}: {path}: {error['msg']}; found {found!r}")
+        lines.append(f"{where}: {path}: {_describe(error, path)}")
     return "\n".join(lines)
 
 
+def _describe(error: pydantic_core.ErrorDetails, path: str) -> str:
+    match error["type"]:
+        case "missing":
+            return "expected a value; found nothing"
+        case "unexpected_keyword_argument" | "extra_forbidden":
+            return (
+                "expected no such key; found "
+                f"{_found(error['input'], path)}; check its spelling"
+            )
+        case "json_invalid":
+            return error["msg"]
+    expected = error["msg"].removeprefix("Input should ")
+    return f"expected to {expected}; found {_found(error['input'], path)}"
+
+
+def _found(value: Any, path: str) -> str:
+    # Keys must not reach logs and terminals.
+    if path.endswith("_key"):
+        return f"a {type(value).__name__} that is not shown"
+    text = json.dumps(value, default=repr, ensure_ascii=False)
+    if len(text) > _MAX_FOUND_CHARS:
+        return text[:_MAX_FOUND_CHARS] + "..."
+    return text
+
+
 def json_path(loc: tuple[Any, ...]) -> str:
     """Returns a JSON path such as `$.callers.port`."""
     path = "$"
--- /dev/null
+++ b/tests/test_house_style.py
@@ -0,0 +1,138 @@
+"""Conventions of design section 2 that the linter has no rule for."""
+
+import ast
+from collections.abc import Iterator
+import pathlib
+
+import pytest
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_PACKAGES = ("tanagerspoke", "tests", "bench")
+
+# Data classes that are not frozen, each with the reason.
+_MUTABLE = {
+    "tanagerspoke/transport/dispatcher.py:_Running": (
+        "attempts of one call, which its dispatcher alone owns and changes"
+    ),
+}
+
+
+def _sources(*packages: str) -> list[pathlib.Path]:
+    return [
+        path
+        for package in packages
+        for path in sorted((_ROOT / package).rglob("*.py"))
+    ]
+
+
+def _where(path: pathlib.Path, node: ast.stmt) -> str:
+    return f"{path.relative_to(_ROOT)}:{node.lineno}"
+
+
+def imported_names(tree: ast.Module) -> Iterator[tuple[ast.stmt, str]]:
+    """Yields imports of names, not modules, from our own packages."""
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.ImportFrom) or node.level:
+            continue
+        package = (node.module or "").split(".")
+        if package[0] not in _PACKAGES:
+            continue
+        for alias in node.names:
+            module = _ROOT.joinpath(*package, alias.name)
+            if not (module.is_dir() or module.with_suffix(".py").is_file()):
+                yield node, alias.name
+
+
+def positional_constructors(
+    tree: ast.Module,
+) -> Iterator[tuple[ast.stmt, str]]:
+    """Yields classes whose constructor takes positional parameters."""
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.ClassDef):
+            continue
+        for method in node.body:
+            if (
+                isinstance(method, ast.FunctionDef)
+                and method.name == "__init__"
+                and len(method.args.posonlyargs + method.args.args) > 1
+            ):
+                yield method, node.name
+
+
+def mutable_data_classes(tree: ast.Module) -> Iterator[tuple[ast.stmt, str]]:
+    """Yields data classes and structs that lack `frozen` or `kw_only`."""
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.ClassDef):
+            continue
+        keywords = _data_class_keywords(node)
+        if keywords is not None and not {"frozen", "kw_only"} <= keywords:
+            yield node, node.name
+
+
+def _data_class_keywords(node: ast.ClassDef) -> set[str] | None:
+    """Returns the options that are true; None where it is no data class."""
+    for decorator in node.decorator_list:
+        if "dataclass" in ast.unparse(decorator):
+            if not isinstance(decorator, ast.Call):
+                return set()
+            return _true_keywords(decorator.keywords)
+    if any(ast.unparse(base).endswith("Struct") for base in node.bases):
+        return _true_keywords(node.keywords)
+    return None
+
+
+def _true_keywords(keywords: list[ast.keyword]) -> set[str]:
+    return {
+        keyword.arg
+        for keyword in keywords
+        if keyword.arg and ast.unparse(keyword.value) == "True"
+    }
+
+
+def test_modules_are_imported_and_not_names() -> None:
+    """Guards against names whose module a reader cannot see."""
+    found = [
+        f"{_where(path, node)}: {name}"
+        for path in _sources(*_PACKAGES)
+        for node, name in imported_names(ast.parse(path.read_text()))
+    ]
+    assert found == []
+
+
+def test_constructors_are_keyword_only() -> None:
+    """Guards against arguments that are swapped by mistake."""
+    found = [
+        f"{_where(path, node)}: {name}"
+        for path in _sources(*_PACKAGES)
+        for node, name in positional_constructors(ast.parse(path.read_text()))
+    ]
+    assert found == []
+
+
+def test_data_classes_are_frozen() -> None:
+    """Guards against state that is changed behind its owner's back."""
+    found = [
+        f"{_where(path, node)}: {name}"
+        for path in _sources("tanagerspoke")
+        for node, name in mutable_data_classes(ast.parse(path.read_text()))
+        if f"{path.relative_to(_ROOT)}:{name}" not in _MUTABLE
+    ]
+    assert found == []
+
+
+@pytest.mark.parametrize(
+    ("check", "source"),
+    [
+        (imported_names, "from tanagerspoke.protocol.calls import Call"),
+        (positional_constructors, "class A:\n def __init__(self, b): pass"),
+        (mutable_data_classes, "@dataclasses.dataclass\nclass A: pass"),
+        (
+            mutable_data_classes,
+            "@dataclasses.dataclass(frozen=False, kw_only=True)\nclass A: pass",
+        ),
+        (mutable_data_classes, "class A(msgspec.Struct, frozen=True): pass"),
+    ],
+)
+def test_checks_find_violations(check, source: str) -> None:
+    """Guards against a check that accepts everything."""
+    assert list(check(ast.parse(source)))
