Report service-level burn from scrapes of the gateways

Cause: tanagerspoke-report read its settings and did nothing.

Change: the report takes live admin ports and scrapes saved by the new subcommand scrape, and shows objective, budget left and burn rates over several windows, worst first, as a table, JSON or plot, with late and lost replies and unknown outcomes by client account. The computation is pure, in state/burn.py; a restarted gateway counts from zero.

--- a/tanagerspoke/commands/report.py
+++ b/tanagerspoke/commands/report.py
@@ -1,24 +1,83 @@
 """The program `tanagerspoke-report`."""
 
 import pathlib
+import sys
 
 import cyclopts
+import msgspec
 
 import tanagerspoke
+from tanagerspoke import exceptions
 from tanagerspoke.commands import program
+from tanagerspoke.commands import report_plot
+from tanagerspoke.commands import report_table
+from tanagerspoke.commands import scrape
+from tanagerspoke.commands import scrapes
 from tanagerspoke.settings import options
+from tanagerspoke.state import burn
 
-app = cyclopts.App(name="tanagerspoke-report", version=tanagerspoke.__version__)
+_NAME = "tanagerspoke-report"
+
+app = cyclopts.App(name=_NAME, version=tanagerspoke.__version__)
+app.command(scrape.scrape)
 
 
 @app.default
-def report(*, settings: pathlib.Path) -> None:
-    """Reports service-level burn by client account and service.
+def report(
+    *saved: pathlib.Path,
+    settings: pathlib.Path | None = None,
+    client_account: str | None = None,
+    json: bool = False,
+    plot: pathlib.Path | None = None,
+) -> None:
+    """Reports service-level burn by client account, service and class.
+
+    Burn rates need at least two scrapes; windows that the scrapes don't
+    reach are left out.
 
     Args:
-        settings: JSON settings file.
+        saved: files of `tanagerspoke-report scrape`.
+        settings: JSON settings file; its gateways are scraped now.
+        client_account: limits all output to one client account.
+        json: prints JSON and no table.
+        plot: SVG or PNG file for a plot.
     """
-    program.load_settings(path=settings, option_type=options.Report)
+    if settings is None and not saved:
+        print("give --settings, saved scrapes or both", file=sys.stderr)
+        raise SystemExit(program.EXIT_INVALID)
+    if plot is not None and plot.suffix not in (".svg", ".png"):
+        print(f"{plot}: expected a .svg or .png file", file=sys.stderr)
+        raise SystemExit(program.EXIT_INVALID)
+    cfg = options.Report(gateways=[])
+    if settings is not None:
+        cfg = program.load_settings(path=settings, option_type=options.Report)
+    found = program.run_once(
+        name=_NAME, log_level=cfg.log_level, job=_collect(cfg, saved)
+    )
+    result = burn.report(
+        found, windows_s=cfg.windows_s, client_account=client_account
+    )
+    if json:
+        print(msgspec.json.format(msgspec.json.encode(result)).decode())
+    else:
+        report_table.show(report=result, windows_s=cfg.windows_s)
+    if plot is not None:
+        report_plot.draw(
+            scrapes=found, client_account=client_account, path=plot
+        )
+
+
+async def _collect(
+    cfg: options.Report, saved: tuple[pathlib.Path, ...]
+) -> tuple[burn.Scrape, ...]:
+    found = []
+    for path in saved:
+        found.extend(scrapes.parse(scrapes.load(path)))
+    if cfg.gateways:
+        found.extend(scrapes.parse(await scrapes.fetch(cfg)))
+    if not found:
+        raise exceptions.ProtocolError("no gateway was scraped")
+    return tuple(found)
 
 
 def main() -> None:
--- /dev/null
+++ b/tanagerspoke/commands/scrape.py
@@ -0,0 +1,31 @@
+"""The subcommand `tanagerspoke-report scrape`."""
+
+import pathlib
+
+from tanagerspoke.commands import program
+from tanagerspoke.commands import scrapes
+from tanagerspoke.settings import options
+
+
+def scrape(*, settings: pathlib.Path, out: pathlib.Path) -> None:
+    """Saves the metrics of all gateways with their time.
+
+    Args:
+        settings: JSON settings file.
+        out: new file; an existing one is not overwritten.
+    """
+    cfg = program.load_settings(path=settings, option_type=options.Report)
+    saved = program.run_once(
+        name="tanagerspoke-report",
+        log_level=cfg.log_level,
+        job=_scrape(cfg, out),
+    )
+    print(f"{len(saved.gateways)} gateways are saved in {out}")
+
+
+async def _scrape(
+    cfg: options.Report, out: pathlib.Path
+) -> scrapes.SavedScrape:
+    saved = await scrapes.fetch(cfg)
+    scrapes.save(scrape=saved, path=out)
+    return saved
--- a/tanagerspoke/settings/options.py
+++ b/tanagerspoke/settings/options.py
@@ -10,6 +10,7 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.protocol import calls
+from tanagerspoke.state import burn
 
 T = TypeVar("T")
 
@@ -139,10 +140,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
 class Report:
-    """Options of `tanagerspoke-report`; endpoints are admin ports."""
+    """Options of `tanagerspoke-report`.
+
+    Attributes:
+        gateways: admin ports.
+        timeout_s: longest wait for the metrics of a gateway.
+        windows_s: windows of the burn rates.
+    """
 
     gateways: list[Endpoint]
     timeout_s: PositiveSeconds = 5.0
+    windows_s: Annotated[
+        list[Annotated[float, pydantic.Field(gt=0, le=2_592_000)]],
+        pydantic.Field(min_length=1, max_length=8),
+    ] = pydantic.Field(default_factory=lambda: list(burn.WINDOWS_S))
     log_level: LogLevel = "WARNING"
 
 
--- /dev/null
+++ b/tests/commands/test_report.py
@@ -0,0 +1,150 @@
+"""`tanagerspoke-report` on live admin ports and saved scrapes."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import json
+import pathlib
+import subprocess
+import sys
+
+import prometheus_client
+import pytest
+import pytest_asyncio
+
+from tanagerspoke.commands import report
+from tanagerspoke.commands import scrapes
+from tanagerspoke.settings import options
+from tanagerspoke.transport import admin_server
+from tests import stack as stacks
+
+_LABELS = ("client_account", "service", "call_class")
+
+
+def _registry() -> prometheus_client.CollectorRegistry:
+    """Returns the metrics of design section 11 that the report reads."""
+    registry = prometheus_client.CollectorRegistry()
+    calls = prometheus_client.Counter(
+        "tanagerspoke_objective_calls",
+        "Calls.",
+        (*_LABELS, "met"),
+        registry=registry,
+    )
+    ratio, latency = (
+        prometheus_client.Gauge(
+            f"tanagerspoke_objective_{name}", name, _LABELS, registry=registry
+        )
+        for name in ("ratio", "latency_seconds")
+    )
+    for account in ("oulu-shop", "turku-shop"):
+        level = (account, "map-viewing", "lookup")
+        ratio.labels(*level).set(0.99)
+        latency.labels(*level).set(0.1)
+        calls.labels(*level, "yes").inc(99)
+    calls.labels("turku-shop", "map-viewing", "lookup", "no").inc(2)
+    prometheus_client.Counter(
+        "tanagerspoke_unknown_outcomes",
+        "Unknown.",
+        ("client_account", "service"),
+        registry=registry,
+    ).labels("turku-shop", "map-edits").inc(3)
+    return registry
+
+
+@pytest_asyncio.fixture
+async def settings(tmp_path: pathlib.Path) -> AsyncIterator[pathlib.Path]:
+    """Settings of a gateway that answers and one that doesn't."""
+    ports = (stacks.free_port(), stacks.free_port())
+    server = admin_server.AdminServer(
+        listen=options.Endpoint(**stacks.endpoint(ports[0])),
+        registry=_registry(),
+        is_ready=lambda: True,
+    )
+    await server.start()
+    path = tmp_path / "report.json"
+    path.write_text(
+        json.dumps({"gateways": [stacks.endpoint(port) for port in ports]})
+    )
+    yield path
+    await server.close()
+
+
+async def _run(*args: str) -> tuple[int, str, str]:
+    process = await asyncio.create_subprocess_exec(
+        *stacks.program(["tanagerspoke-report", *args]),
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+    out, err = await asyncio.wait_for(process.communicate(), stacks.WAIT_S)
+    return process.returncode or 0, out.decode(), err.decode()
+
+
+async def test_live_saved_json_and_plot(
+    settings: pathlib.Path, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a source or an output that loses an account."""
+    saved = tmp_path / "scrape.json"
+    code, _, err = await _run(
+        "scrape", "--settings", str(settings), "--out", str(saved)
+    )
+    assert (code, "is left out" in err) == (0, True)
+    plot = tmp_path / "burn.svg"
+    (code, out, err), (_, text, _) = await asyncio.gather(
+        _run(
+            *("--settings", str(settings), str(saved), "--json"),
+            *("--plot", str(plot)),
+        ),
+        _run(str(saved), "--client-account", "turku-shop"),
+    )
+    assert code == 0, err
+    levels = json.loads(out)["levels"]
+    accounts = [level["level"]["client_account"] for level in levels]
+    assert accounts == ["turku-shop", "oulu-shop"]
+    assert levels[0]["calls"] == 101
+    assert "turku-shop map-viewing lookup" in plot.read_text()
+    for shown in ("turku-shop", "99 % in 100 ms", "-98.0 %", "unknown outcome"):
+        assert shown in text
+    assert "oulu-shop" not in text
+
+
+@pytest.mark.parametrize(
+    ("args", "message"),
+    [
+        ([], "give --settings"),
+        (["missing.json"], "No such file"),
+        (["broken.json"], "broken.json"),
+        (["broken.json", "--plot", "a.pdf"], ".svg or .png"),
+    ],
+)
+def test_explains_errors(
+    args: list[str],
+    message: str,
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against tracebacks for wrong arguments and files."""
+    monkeypatch.chdir(tmp_path)
+    pathlib.Path("broken.json").write_text('{"gateways": [{"at": "x"}]}')
+    with pytest.raises(SystemExit) as caught:
+        report.app(args)
+    assert caught.value.code in (1, 2)
+    assert message in capsys.readouterr().err
+
+
+def test_rejects_malformed_metrics() -> None:
+    """Guards against metrics of another program counted as no misses."""
+    for text in ("{", 'tanagerspoke_objective_calls_total{met="no"} 1\n'):
+        with pytest.raises(Exception, match="metrics of gateway a"):
+            scrapes.parse(
+                scrapes.SavedScrape(
+                    at=0.0,
+                    gateways=(scrapes.GatewayText(gateway="a", text=text),),
+                )
+            )
+
+
+def test_matplotlib_is_imported_for_plots_only() -> None:
+    """Guards against a second of start-up that most uses don't need."""
+    code = "import sys; from tanagerspoke.commands import report; "
+    code += "sys.exit('matplotlib' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", code]).returncode == 0
