--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of tanagerspoke."""
--- /dev/null
+++ b/tanagerspoke/coordination/balancing.py
@@ -0,0 +1,115 @@
+"""Selection of an upstream by expected latency and free slots.
+
+The rule follows Prequal (Wydrowski and others, NSDI 2024): latency decides
+among upstreams with a free slot, calls in flight decide otherwise. Here both
+are one expected latency, because a slot is a third of an upstream.
+"""
+
+from collections.abc import Container
+
+from tanagerspoke.protocol import calls
+from tanagerspoke.protocol import randomness
+from tanagerspoke.state import loads
+
+# Larger services are sampled, so that the cost of a decision stays bounded.
+_MAX_CANDIDATES = 16
+# Weight of crowding among upstreams with a free slot: the estimate of the
+# other gateways' calls is uncertain, so an emptier upstream is safer.
+_CROWDING_WEIGHT = 0.5
+# Spread of the random factor that keeps gateways from herding.
+_TIE_SPREAD = 0.1
+# An upstream this much slower than the service's mean gets one call at a
+# time, which is enough to learn that it has recovered.
+_SLOW_RATIO = 2.0
+# Calls that may wait at an upstream, as a share of its slots. Zero would idle
+# a slot whenever an estimate is too high.
+_BACKLOG_SHARE = 0.25
+
+
+class Balancer:
+    """Chooses upstreams for one service."""
+
+    def __init__(
+        self,
+        *,
+        view: loads.LoadView,
+        availability_zone: str,
+        zone_distance_s: float,
+        rng: randomness.Random,
+    ) -> None:
+        self._view = view
+        self._availability_zone = availability_zone
+        self._zone_distance_s = zone_distance_s
+        self._rng = rng
+
+    def choose(
+        self,
+        *,
+        call_class: calls.CallClass,
+        mean_latency_s: float,
+        now: float,
+        tried: Container[str] = (),
+        entitled: bool = False,
+        need_free_slot: bool = False,
+    ) -> loads.UpstreamLoad | None:
+        """Returns the upstream with the lowest expected latency, or None.
+
+        Args:
+            call_class: pulls go where the fewest of them run.
+            mean_latency_s: mean attempt duration of the class.
+            now: monotonic seconds.
+            tried: upstream ids to leave out.
+            entitled: ignores the other gateways' calls as a bound; this
+                gateway has not used its own share of the slots.
+            need_free_slot: accepts only an upstream with a free slot.
+        """
+        best = None
+        best_score = float("inf")
+        pull = call_class is calls.CallClass.PULL
+        rng_random = self._rng.random
+        mean_others = self._view.mean_others
+        for record in self._candidates():
+            if _closed(record, now, tried):
+                continue
+            slots = record.slots
+            busy = record.in_flight(now=now, mean_others=mean_others) / slots
+            free = busy + 0.5 / slots <= 1.0
+            if not free and (
+                need_free_slot
+                or (not entitled and busy >= 1.0 + _BACKLOG_SHARE)
+            ):
+                continue
+            slowness = record.current_slowness(now)
+            if slowness > _SLOW_RATIO and record.own:
+                continue
+            score = slowness * (1.0 + _CROWDING_WEIGHT * busy * busy)
+            if not free:
+                score *= 1.0 + busy
+            if pull:
+                score *= 1.0 + record.own_pulls
+            score *= 1.0 + _TIE_SPREAD * rng_random()
+            score *= mean_latency_s
+            zone = record.upstream.availability_zone
+            if zone != self._availability_zone:
+                score += self._zone_distance_s
+            if score < best_score:
+                best = record
+                best_score = score
+        return best
+
+    def _candidates(self) -> list[loads.UpstreamLoad]:
+        records = self._view.open
+        if len(records) <= _MAX_CANDIDATES:
+            return records
+        return self._rng.sample(records, _MAX_CANDIDATES)
+
+
+def _closed(
+    record: loads.UpstreamLoad, now: float, tried: Container[str]
+) -> bool:
+    """Returns whether the upstream may get no call of this gateway now."""
+    if record.own >= record.slots or record.ejected_until > now:
+        return True
+    if record.ramp_from is not None and record.own >= record.limit(now):
+        return True
+    return bool(tried) and record.upstream.upstream_id in tried
--- a/tanagerspoke/coordination/scheduling.py
+++ b/tanagerspoke/coordination/scheduling.py
@@ -1,9 +1,78 @@
 """Scheduler of the calls of one service in one gateway."""
 
+import dataclasses
+import heapq
+
+from tanagerspoke.coordination import admission
+from tanagerspoke.coordination import balancing
+from tanagerspoke.coordination import ejection
+from tanagerspoke.coordination import hedging
+from tanagerspoke.coordination import retries
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import randomness
 from tanagerspoke.protocol import upstreams
+from tanagerspoke.state import loads
+
+_DEFAULT_LATENCY_S = 0.01
+_MEAN_WEIGHT = 0.05
+# Together under the 5 % of extra load that hedges and retries may cause.
+_HEDGE_SHARE = 0.035
+_RETRY_SHARE = 0.01
+_BUDGET_CAPACITY = 10.0
+_MAX_ATTEMPTS = 3
+# The estimates of the other gateways' calls change without an event here.
+_RECHECK_S = 0.005
+# A call leaves the queue while it can still be served, with this margin over
+# the mean duration of its class.
+_SERVICE_MARGIN = 2.0
+# Calls waiting per slot and class; bounds memory when deadlines are long.
+_QUEUE_PER_SLOT = 16
+_MIN_QUEUE = 64
+_NO_UPSTREAM_RETRY_AFTER_S = 1.0
+_MIN_RETRY_AFTER_S = 0.1
+# A timeout says something about the upstream only if the call had this many
+# times the mean duration of its class.
+_TIMEOUT_RATIO = 3.0
+_HEDGE_TRIES = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Mechanisms:
+    """Switches for measuring what each mechanism contributes."""
+
+    queue: bool = True
+    classes: bool = True
+    hedging: bool = True
+    retries: bool = True
+    ejection: bool = True
+    load_reports: bool = True
+    zone_preference: bool = True
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Attempt:
+    record: loads.UpstreamLoad
+    started_at: float
+    is_hedge: bool
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _CallState:
+    """A call from its arrival until its last attempt ended."""
+
+    call: calls.Call
+    attempts: dict[int, _Attempt]
+    tried: tuple[str, ...] = ()
+    attempt_count: int = 0
+    hedge_tries: int = 0
+    done: bool = False
+    queued: bool = False
+    started: int | None = None
+    failed_answer: int | None = None
+    unknown: errors.ErrorCode | None = None
+    not_run: errors.ErrorCode | None = None
+    retry_after_s: float | None = None
 
 
 class ServiceScheduler:
@@ -15,70 +84,573 @@
         availability_zone: str,
         pull_slot_share: float,
         rng: randomness.Random,
+        gateways: int = 1,
+        zone_distance_s: float = 0.0015,
+        mechanisms: Mechanisms | None = None,
     ) -> None:
-        self._availability_zone = availability_zone
+        """Creates a scheduler without upstreams.
+
+        Args:
+            availability_zone: zone of this gateway.
+            pull_slot_share: most of the fleet's slots held by pulls, 0 to 1.
+            rng: injected generator.
+            gateways: live gateways that share the upstreams.
+            zone_distance_s: added latency of another zone.
+            mechanisms: switches; all on by default.
+        """
+        self._on = mechanisms or Mechanisms()
         self._pull_slot_share = pull_slot_share
         self._rng = rng
-        self._upstreams: dict[str, upstreams.Upstream] = {}
-        self._draining: set[str] = set()
+        self._gateways = max(1, gateways)
+        self._view = loads.LoadView(use_reports=self._on.load_reports)
+        self._balancer = balancing.Balancer(
+            view=self._view,
+            availability_zone=availability_zone,
+            zone_distance_s=(
+                zone_distance_s if self._on.zone_preference else 0.0
+            ),
+            rng=rng,
+        )
+        self._ejector = ejection.Ejector(view=self._view)
+        self._queue = admission.AdmissionQueue(use_classes=self._on.classes)
+        self._hedge_delay = hedging.HedgeDelay()
+        self._hedge_budget = retries.TokenBudget(
+            share=_HEDGE_SHARE, capacity=_BUDGET_CAPACITY
+        )
+        self._retry_budget = retries.TokenBudget(
+            share=_RETRY_SHARE, capacity=_BUDGET_CAPACITY
+        )
+        self._latency_s: dict[calls.CallClass, float] = {}
+        self._calls: dict[int, _CallState] = {}
+        self._own = 0
+        self._own_pulls = 0
+        self._hedges: list[tuple[float, int]] = []
+        self._expiries: list[tuple[float, int]] = []
+        self._recheck_at: float | None = None
 
     @property
     def next_wakeup(self) -> float | None:
         """Time of the next `Tick` that is needed, or None."""
+        wakeup = self._recheck_at
+        self._drop_stale_timers()
+        if self._hedges and (wakeup is None or self._hedges[0][0] < wakeup):
+            wakeup = self._hedges[0][0]
+        if self._expiries and (wakeup is None or self._expiries[0][0] < wakeup):
+            wakeup = self._expiries[0][0]
+        return wakeup
+
+    @property
+    def queue_length(self) -> int:
+        """Calls that wait for an upstream."""
+        return len(self._queue)
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts that have not ended."""
+        return self._own
+
+    def set_gateways(self, gateways: int) -> None:
+        """Takes the number of live gateways that share the upstreams."""
+        self._gateways = max(1, gateways)
+
+    def would_refuse(
+        self, *, call: calls.Call, now: float
+    ) -> calls.Refuse | None:
+        """Returns the refusal that the call would get now, or None.
+
+        A write asks before its claim is paid for. The answer can be outdated
+        when the call arrives.
+        """
+        if not self._view.open:
+            return calls.Refuse(
+                call_id=call.call_id,
+                code=errors.ErrorCode.NO_UPSTREAM,
+                retry_after_s=_NO_UPSTREAM_RETRY_AFTER_S,
+            )
+        if now >= call.deadline:
+            return self._refusal(call, errors.ErrorCode.QUEUE_TIMEOUT, 0.0)
+        if not len(self._queue):
+            return None
+        wait_s = self._expected_wait_s(call)
+        if len(self._queue.queue(call.call_class)) >= self._queue_limit():
+            return self._refusal(call, errors.ErrorCode.QUEUE_FULL, wait_s)
+        if now + wait_s >= self._expires_at(call):
+            return self._refusal(call, errors.ErrorCode.QUEUE_TIMEOUT, wait_s)
         return None
 
     def handle(
         self, *, event: calls.SchedulerEvent, now: float
     ) -> list[calls.SchedulerAction]:
         """Returns what follows from an event."""
-        del now
+        actions: list[calls.SchedulerAction] = []
+        # The two frequent events first: `match` on classes tries in order.
         match event:
             case calls.Arrive(call=call):
-                return [self._dispatch(call)]
+                self._arrive(call, now, actions)
             case calls.AttemptEnded():
-                return [self._end(event)]
+                self._end(event, now, actions)
+            case calls.AnswerStarted():
+                self._start_answer(event, actions)
+            case calls.CallerLeft(call_id=call_id):
+                self._leave(call_id, actions)
             case calls.UpstreamsChanged(upstreams=changed):
-                self._upstreams = {u.upstream_id: u for u in changed}
+                self._view.replace(changed=changed, now=now)
             case calls.DrainMarked(upstream_id=upstream_id):
-                self._draining.add(upstream_id)
-        return []
-
-    def _dispatch(self, call: calls.Call) -> calls.SchedulerAction:
-        ready = [
-            upstream_id
-            for upstream_id, upstream in self._upstreams.items()
-            if upstream_id not in self._draining and not upstream.leaving
-        ]
-        if not ready:
-            return calls.Refuse(
+                self._view.mark_draining(upstream_id)
+            case calls.LoadReported(upstream_id=upstream_id, load=load):
+                self._take_report(upstream_id, load, now)
+        self._advance(now, actions)
+        return actions
+
+    def _arrive(
+        self,
+        call: calls.Call,
+        now: float,
+        actions: list[calls.SchedulerAction],
+    ) -> None:
+        refusal = self.would_refuse(call=call, now=now)
+        if refusal is not None:
+            actions.append(refusal)
+            return
+        state = _CallState(call=call, attempts={})
+        self._calls[call.call_id] = state
+        if not len(self._queue):
+            record = self._choose(state, now)
+            if record is not None:
+                self._dispatch(state, record, now, actions)
+                return
+        if not self._on.queue:
+            state.not_run = errors.ErrorCode.QUEUE_FULL
+            self._finish(state, actions)
+            return
+        self._enqueue(state)
+
+    def _enqueue(self, state: _CallState, *, first: bool = False) -> None:
+        expires_at = self._expires_at(state.call)
+        state.queued = True
+        self._queue.push(
+            admission.Waiting(call=state.call, expires_at=expires_at),
+            first=first,
+        )
+        heapq.heappush(self._expiries, (expires_at, state.call.call_id))
+
+    def _choose(
+        self,
+        state: _CallState,
+        now: float,
+        *,
+        need_free_slot: bool = False,
+    ) -> loads.UpstreamLoad | None:
+        call_class = state.call.call_class
+        pull = call_class is calls.CallClass.PULL
+        if pull and self._on.classes and self._own_pulls >= self._pull_cap():
+            return None
+        tried = state.tried
+        if tried and len(tried) >= len(self._view.open):
+            tried = ()
+        total = self._view.total_slots
+        entitled = not self._on.queue or self._own < max(
+            1, total // self._gateways
+        )
+        return self._balancer.choose(
+            call_class=call_class,
+            mean_latency_s=self._latency_s.get(call_class, _DEFAULT_LATENCY_S),
+            now=now,
+            tried=tried,
+            entitled=entitled,
+            need_free_slot=need_free_slot,
+        )
+
+    def _dispatch(
+        self,
+        state: _CallState,
+        record: loads.UpstreamLoad,
+        now: float,
+        actions: list[calls.SchedulerAction],
+        *,
+        is_hedge: bool = False,
+    ) -> None:
+        call = state.call
+        state.attempt_count += 1
+        attempt = state.attempt_count
+        state.attempts[attempt] = _Attempt(
+            record=record, started_at=now, is_hedge=is_hedge
+        )
+        upstream_id = record.upstream.upstream_id
+        state.tried += (upstream_id,)
+        record.own += 1
+        self._own += 1
+        if call.call_class is calls.CallClass.PULL:
+            record.own_pulls += 1
+            self._own_pulls += 1
+        if attempt == 1:
+            self._hedge_budget.earn()
+            self._retry_budget.earn()
+        if not is_hedge and self._on.hedging and hedging.may_hedge(call):
+            self._arm_hedge(call, now)
+        actions.append(
+            calls.Dispatch(
                 call_id=call.call_id,
-                code=errors.ErrorCode.NO_UPSTREAM,
-                retry_after_s=1.0,
+                attempt=attempt,
+                upstream_id=upstream_id,
+                is_hedge=is_hedge,
             )
-        return calls.Dispatch(
-            call_id=call.call_id,
-            attempt=1,
-            upstream_id=self._rng.choice(ready),
         )
 
-    def _end(self, event: calls.AttemptEnded) -> calls.SchedulerAction:
-        match event.result:
-            case calls.Answered():
-                return calls.Settle(
-                    call_id=event.call_id, attempt=event.attempt
+    def _end(
+        self,
+        event: calls.AttemptEnded,
+        now: float,
+        actions: list[calls.SchedulerAction],
+    ) -> None:
+        state = self._calls.get(event.call_id)
+        if state is None:
+            return
+        attempt = state.attempts.pop(event.attempt, None)
+        if attempt is None:
+            return
+        if event.load is not None:
+            self._view.report(record=attempt.record, load=event.load, now=now)
+        self._release(state.call, attempt)
+        self._learn(state.call, attempt, event.result, now)
+        if state.done:
+            self._forget(state)
+            return
+        result = event.result
+        if isinstance(result, calls.Answered) and not result.failed:
+            self._settle(state, event.attempt, actions)
+            return
+        self._note_failure(state, event.attempt, result)
+        if state.attempts:
+            return
+        if state.started is None and self._retry(state, result, now, actions):
+            return
+        self._finish(state, actions)
+
+    def _release(self, call: calls.Call, attempt: _Attempt) -> None:
+        record = attempt.record
+        record.own -= 1
+        self._own -= 1
+        if call.call_class is calls.CallClass.PULL:
+            record.own_pulls -= 1
+            self._own_pulls -= 1
+        self._view.released(record)
+
+    def _learn(
+        self,
+        call: calls.Call,
+        attempt: _Attempt,
+        result: calls.AttemptResult,
+        now: float,
+    ) -> None:
+        record = attempt.record
+        elapsed_s = now - attempt.started_at
+        match result:
+            case calls.Answered(failed=False):
+                self._learn_duration(call, record, elapsed_s, now)
+                self._ejector.succeeded(record)
+            case calls.Cancelled():
+                # Not a failure, but the attempt lasted at least this long.
+                self._learn_slow(call, record, elapsed_s, now)
+                if not attempt.is_hedge and hedging.may_hedge(call):
+                    self._hedge_delay.learn(elapsed_s)
+            case calls.TimedOut():
+                self._learn_slow(call, record, elapsed_s, now)
+                mean_s = self._latency_s.get(
+                    call.call_class, _DEFAULT_LATENCY_S
                 )
-            case calls.NotSent():
-                code = errors.ErrorCode.UPSTREAM_UNREACHABLE
+                if elapsed_s >= _TIMEOUT_RATIO * mean_s:
+                    self._count_failure(record, now)
             case calls.Shed():
-                code = errors.ErrorCode.UPSTREAM_SHED
+                record.learn_failure(now)
+            case _:
+                self._count_failure(record, now)
+
+    def _count_failure(self, record: loads.UpstreamLoad, now: float) -> None:
+        record.learn_failure(now)
+        if self._on.ejection:
+            self._ejector.failed(record=record, now=now)
+
+    def _learn_duration(
+        self,
+        call: calls.Call,
+        record: loads.UpstreamLoad,
+        elapsed_s: float,
+        now: float,
+    ) -> None:
+        call_class = call.call_class
+        mean_s = self._latency_s.get(call_class)
+        if mean_s is None:
+            mean_s = self._latency_s[call_class] = max(elapsed_s, 1e-6)
+        record.learn_duration(
+            ratio=elapsed_s / mean_s,
+            pull=call_class is calls.CallClass.PULL,
+            now=now,
+        )
+        self._latency_s[call_class] = max(
+            1e-6, mean_s + _MEAN_WEIGHT * (elapsed_s - mean_s)
+        )
+        if call_class is calls.CallClass.LOOKUP:
+            self._hedge_delay.learn(elapsed_s)
+
+    def _learn_slow(
+        self,
+        call: calls.Call,
+        record: loads.UpstreamLoad,
+        elapsed_s: float,
+        now: float,
+    ) -> None:
+        mean_s = self._latency_s.get(call.call_class)
+        if mean_s is not None and call.call_class is not calls.CallClass.PULL:
+            record.learn_slow(ratio=elapsed_s / mean_s, now=now)
+
+    def _settle(
+        self,
+        state: _CallState,
+        attempt: int,
+        actions: list[calls.SchedulerAction],
+    ) -> None:
+        state.done = True
+        actions.append(
+            calls.Settle(call_id=state.call.call_id, attempt=attempt)
+        )
+        if state.attempts:
+            self._cancel_others(state, attempt, actions)
+        else:
+            del self._calls[state.call.call_id]
+
+    def _cancel_others(
+        self,
+        state: _CallState,
+        kept: int | None,
+        actions: list[calls.SchedulerAction],
+    ) -> None:
+        actions.extend(
+            calls.CancelAttempt(
+                call_id=state.call.call_id,
+                attempt=number,
+                upstream_id=attempt.record.upstream.upstream_id,
+            )
+            for number, attempt in state.attempts.items()
+            if number != kept
+        )
+
+    def _note_failure(
+        self, state: _CallState, attempt: int, result: calls.AttemptResult
+    ) -> None:
+        match result:
+            case calls.Answered():
+                state.failed_answer = attempt
+            case calls.NotSent():
+                state.not_run = errors.ErrorCode.UPSTREAM_UNREACHABLE
+            case calls.Shed(retry_after_s=retry_after_s):
+                state.not_run = errors.ErrorCode.UPSTREAM_SHED
+                state.retry_after_s = retry_after_s
             case calls.TimedOut():
-                code = errors.ErrorCode.UPSTREAM_TIMEOUT
+                state.unknown = errors.ErrorCode.UPSTREAM_TIMEOUT
             case calls.Crossed():
-                code = errors.ErrorCode.CROSSED_REPLY
+                state.unknown = errors.ErrorCode.CROSSED_REPLY
             case _:
-                code = errors.ErrorCode.UPSTREAM_BROKEN
-        if errors.outcome_of(code) is errors.Outcome.NOT_RUN:
-            return calls.Refuse(
-                call_id=event.call_id, code=code, retry_after_s=1.0
+                state.unknown = errors.ErrorCode.UPSTREAM_BROKEN
+
+    def _retry(
+        self,
+        state: _CallState,
+        result: calls.AttemptResult,
+        now: float,
+        actions: list[calls.SchedulerAction],
+    ) -> bool:
+        if not self._on.retries or state.attempt_count >= _MAX_ATTEMPTS:
+            return False
+        if not self._view.open:
+            return False
+        if not retries.may_repeat(call=state.call, result=result, now=now):
+            return False
+        if not self._retry_budget.spend():
+            return False
+        record = self._choose(state, now)
+        if record is not None:
+            self._dispatch(state, record, now, actions)
+            return True
+        if not self._on.queue:
+            return False
+        self._enqueue(state, first=True)
+        return True
+
+    def _finish(
+        self, state: _CallState, actions: list[calls.SchedulerAction]
+    ) -> None:
+        """Ends a call that has no attempt in flight and no good answer."""
+        state.done = True
+        call = state.call
+        if state.failed_answer is not None:
+            actions.append(
+                calls.Settle(call_id=call.call_id, attempt=state.failed_answer)
             )
-        return calls.Fail(call_id=event.call_id, code=code)
+        elif state.unknown is not None:
+            actions.append(calls.Fail(call_id=call.call_id, code=state.unknown))
+        else:
+            code = state.not_run or errors.ErrorCode.QUEUE_TIMEOUT
+            wait_s = state.retry_after_s or self._expected_wait_s(call)
+            actions.append(self._refusal(call, code, wait_s))
+        self._forget(state)
+
+    def _forget(self, state: _CallState) -> None:
+        if not state.attempts:
+            self._calls.pop(state.call.call_id, None)
+
+    def _start_answer(
+        self,
+        event: calls.AnswerStarted,
+        actions: list[calls.SchedulerAction],
+    ) -> None:
+        state = self._calls.get(event.call_id)
+        if state is None or state.done or event.attempt not in state.attempts:
+            return
+        if state.started is None:
+            state.started = event.attempt
+            self._cancel_others(state, event.attempt, actions)
+
+    def _leave(
+        self, call_id: int, actions: list[calls.SchedulerAction]
+    ) -> None:
+        state = self._calls.get(call_id)
+        if state is None or state.done:
+            return
+        state.done = True
+        if state.queued:
+            state.queued = False
+            self._queue.remove(state.call)
+        if state.call.idempotent:
+            self._cancel_others(state, None, actions)
+        # A write runs on: its outcome has to become known for repeats.
+        self._forget(state)
+
+    def _take_report(
+        self, upstream_id: str, load: upstreams.LoadReport, now: float
+    ) -> None:
+        record = self._view.get(upstream_id)
+        if record is not None:
+            self._view.report(record=record, load=load, now=now)
+
+    def _advance(
+        self, now: float, actions: list[calls.SchedulerAction]
+    ) -> None:
+        if self._hedges and self._hedges[0][0] <= now:
+            self._run_hedges(now, actions)
+        if self._expiries and self._expiries[0][0] <= now:
+            self._expire(now, actions)
+        if len(self._queue):
+            self._drain(now, actions)
+        self._recheck_at = now + _RECHECK_S if len(self._queue) else None
+
+    def _drain(self, now: float, actions: list[calls.SchedulerAction]) -> None:
+        while True:
+            for call_class in self._queue.order():
+                head = self._queue.queue(call_class).head()
+                state = self._calls[head.call.call_id]
+                record = self._choose(state, now)
+                if record is not None:
+                    self._queue.pop(call_class)
+                    state.queued = False
+                    self._dispatch(state, record, now, actions)
+                    break
+            else:
+                return
+
+    def _expire(self, now: float, actions: list[calls.SchedulerAction]) -> None:
+        while self._expiries and self._expiries[0][0] <= now:
+            _, call_id = heapq.heappop(self._expiries)
+            state = self._calls.get(call_id)
+            if state is None or not state.queued:
+                continue
+            waiting = self._queue.remove(state.call)
+            state.queued = False
+            if waiting is not None:
+                self._finish(state, actions)
+
+    def _arm_hedge(self, call: calls.Call, now: float) -> None:
+        delay_s = self._hedge_delay.delay_s
+        if delay_s is not None and now + delay_s < call.deadline:
+            heapq.heappush(self._hedges, (now + delay_s, call.call_id))
+
+    def _drop_stale_timers(self) -> None:
+        while self._hedges and not self._awaits_hedge(self._hedges[0][1]):
+            heapq.heappop(self._hedges)
+        while self._expiries:
+            state = self._calls.get(self._expiries[0][1])
+            if state is not None and state.queued:
+                return
+            heapq.heappop(self._expiries)
+
+    def _awaits_hedge(self, call_id: int) -> bool:
+        state = self._calls.get(call_id)
+        return (
+            state is not None
+            and not state.done
+            and state.started is None
+            and len(state.attempts) == 1
+        )
+
+    def _run_hedges(
+        self, now: float, actions: list[calls.SchedulerAction]
+    ) -> None:
+        while self._hedges and self._hedges[0][0] <= now:
+            _, call_id = heapq.heappop(self._hedges)
+            if self._awaits_hedge(call_id):
+                self._hedge(self._calls[call_id], now, actions)
+
+    def _hedge(
+        self,
+        state: _CallState,
+        now: float,
+        actions: list[calls.SchedulerAction],
+    ) -> None:
+        call = state.call
+        (attempt,) = state.attempts.values()
+        self._learn_slow(call, attempt.record, now - attempt.started_at, now)
+        if state.attempt_count >= _MAX_ATTEMPTS:
+            return
+        record = None
+        if not len(self._queue):
+            record = self._choose(state, now, need_free_slot=True)
+        if record is not None and self._hedge_budget.spend():
+            self._dispatch(state, record, now, actions, is_hedge=True)
+            return
+        state.hedge_tries += 1
+        if state.hedge_tries < _HEDGE_TRIES:
+            self._arm_hedge(call, now)
+
+    def _pull_cap(self) -> int:
+        total = self._view.total_slots
+        return max(1, int(self._pull_slot_share * total / self._gateways))
+
+    def _queue_limit(self) -> int:
+        return max(_MIN_QUEUE, _QUEUE_PER_SLOT * self._view.total_slots)
+
+    def _expires_at(self, call: calls.Call) -> float:
+        mean_s = self._latency_s.get(call.call_class, _DEFAULT_LATENCY_S)
+        margin_s = _SERVICE_MARGIN * mean_s
+        # A call whose whole time is short may still wait for half of it.
+        half_s = 0.5 * (call.deadline - call.arrived_at)
+        return call.deadline - min(margin_s, half_s)
+
+    def _expected_wait_s(self, call: calls.Call) -> float:
+        mean_s = self._latency_s.get(call.call_class, _DEFAULT_LATENCY_S)
+        ahead = self._queue.ahead_of(call)
+        if call.call_class is calls.CallClass.PULL and self._on.classes:
+            parallel = self._pull_cap()
+        else:
+            parallel = max(1, self._own - self._own_pulls)
+        return ahead * mean_s / parallel
+
+    def _refusal(
+        self, call: calls.Call, code: errors.ErrorCode, wait_s: float
+    ) -> calls.Refuse:
+        # Random, so that refused callers do not return together.
+        wait_s = max(_MIN_RETRY_AFTER_S, wait_s)
+        return calls.Refuse(
+            call_id=call.call_id,
+            code=code,
+            retry_after_s=wait_s * self._rng.uniform(1.0, 1.5),
+        )
