Let lookups and writes take turns, and pulls use idle slots

Change: turns, waits by class, hedging off only when short calls wait, and pulls beyond the gateway's part on nearly idle upstreams.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -322,7 +322,7 @@
 
 
 def _crest_share(size: Size, results: list[Result]) -> float:
-    """Useful work of the crest's calls over what capacity allows.
+    """Useful work finished within the crest over what capacity allows.
 
     Work is counted at the mean duration of the class, so that answering
     many short calls instead of a few long ones does not count as more.
@@ -333,10 +333,12 @@
         start, end = result.crest
         offered = 0.0
         for rec in result.records:
-            if start <= rec.call.arrived_at < end:
-                work = size.traffic[rec.call.call_class].mean_s
-                offered += work
-                useful += work * (rec.outcome == "useful")
+            work = size.traffic[rec.call.call_class].mean_s
+            arrived_at = rec.call.arrived_at
+            offered += work * (start <= arrived_at < end)
+            ended_at = arrived_at + rec.latency_s
+            if rec.outcome == "useful" and start <= ended_at < end:
+                useful += work
         allowed += min(offered, capacity * (end - start))
     return useful / allowed
 
--- a/tanagerspoke/coordination/admission.py
+++ b/tanagerspoke/coordination/admission.py
@@ -122,6 +122,9 @@
         self._use_classes = use_classes
         self._queues = {c: ClassQueue() for c in calls.CallClass}
         self._short_calls = 0
+        # Lookups and writes take turns: by age, writes would wait behind a
+        # backlog of lookups whose shorter deadlines drop them first.
+        self._turns = [calls.CallClass.LOOKUP, calls.CallClass.WRITE]
 
     def __len__(self) -> int:
         return sum(len(q) for q in self._queues.values())
@@ -132,17 +135,28 @@
             return self._queues[calls.CallClass.LOOKUP]
         return self._queues[call_class]
 
-    def ahead_of(self, call: calls.Call) -> int:
-        """Returns how many waiting calls are served before a new one."""
-        total = self.queue(call.call_class).ahead_of(call.client_account)
+    @property
+    def short_calls(self) -> int:
+        """Waiting calls that are not pulls."""
         if not self._use_classes:
-            return total
-        for call_class, queue in self._queues.items():
+            return len(self)
+        return len(self) - len(self._queues[calls.CallClass.PULL])
+
+    def ahead_of(self, call: calls.Call) -> dict[calls.CallClass, int]:
+        """Returns by class the calls that are served before a new one."""
+        own = self.queue(call.call_class).ahead_of(call.client_account)
+        ahead = {call.call_class: own}
+        if not self._use_classes:
+            return ahead
+        for call_class in (calls.CallClass.LOOKUP, calls.CallClass.WRITE):
             if call_class is call.call_class:
                 continue
-            if call_class is not calls.CallClass.PULL:
-                total += len(queue)
-        return total
+            waiting = len(self._queues[call_class])
+            # Lookups and writes take turns; pulls wait for all of them.
+            if call.call_class is not calls.CallClass.PULL:
+                waiting = min(waiting, own + 1)
+            ahead[call_class] = waiting
+        return ahead
 
     def push(self, waiting: Waiting, *, first: bool = False) -> None:
         """Adds a call to the queue of its class."""
@@ -154,17 +168,7 @@
 
     def order(self) -> list[calls.CallClass]:
         """Returns the classes that wait, the one that goes first in front."""
-        lookups = self._queues[calls.CallClass.LOOKUP]
-        writes = self._queues[calls.CallClass.WRITE]
-        order: list[calls.CallClass] = []
-        if len(lookups):
-            order.append(calls.CallClass.LOOKUP)
-        if len(writes):
-            order.append(calls.CallClass.WRITE)
-        if len(order) == 2 and (
-            writes.head().call.arrived_at < lookups.head().call.arrived_at
-        ):
-            order.reverse()
+        order = [c for c in self._turns if len(self._queues[c])]
         if len(self._queues[calls.CallClass.PULL]):
             if self._short_calls >= _SHORT_CALLS_PER_PULL:
                 order.insert(0, calls.CallClass.PULL)
@@ -178,4 +182,6 @@
             self._short_calls = 0
         else:
             self._short_calls += 1
+            if call_class is self._turns[0]:
+                self._turns.reverse()
         return self._queues[call_class].pop()
--- a/tanagerspoke/coordination/balancing.py
+++ b/tanagerspoke/coordination/balancing.py
@@ -51,6 +51,7 @@
         tried: Container[str] = (),
         entitled: bool = False,
         need_free_slot: bool = False,
+        max_busy: float | None = None,
     ) -> loads.UpstreamLoad | None:
         """Returns the upstream with the lowest expected latency, or None.
 
@@ -62,6 +63,7 @@
             entitled: ignores the other gateways' calls as a bound; this
                 gateway has not used its own share of the slots.
             need_free_slot: accepts only an upstream with a free slot.
+            max_busy: most of an upstream's slots in use, this call included.
         """
         best = None
         best_score = float("inf")
@@ -83,6 +85,8 @@
                 or (not entitled and busy >= 1.0 + _BACKLOG_SHARE)
             ):
                 continue
+            if max_busy is not None and busy + 1.0 / slots > max_busy:
+                continue
             slowness = record.current_slowness(now)
             if slowness > _SLOW_RATIO and record.own:
                 continue
--- a/tanagerspoke/coordination/scheduling.py
+++ b/tanagerspoke/coordination/scheduling.py
@@ -19,7 +19,7 @@
 # Together under the 5 % of extra load that hedges and retries may cause.
 _HEDGE_SHARE = 0.035
 _RETRY_SHARE = 0.01
-_BUDGET_CAPACITY = 10.0
+_BUDGET_CAPACITY = 5.0
 _MAX_ATTEMPTS = 3
 # The estimates of the other gateways' calls change without an event here.
 _RECHECK_S = 0.005
@@ -242,9 +242,12 @@
         need_free_slot: bool = False,
     ) -> loads.UpstreamLoad | None:
         call_class = state.call.call_class
-        pull = call_class is calls.CallClass.PULL
-        if pull and self._on.classes and self._own_pulls >= self._pull_cap():
-            return None
+        max_busy = None
+        if call_class is calls.CallClass.PULL and self._on.classes:
+            if self._own_pulls >= self._max_pulls():
+                return None
+            if self._own_pulls >= self._pull_cap():
+                max_busy = self._pull_slot_share
         tried = state.tried
         if tried and len(tried) >= len(self._view.open):
             tried = ()
@@ -259,6 +262,7 @@
             tried=tried,
             entitled=entitled,
             need_free_slot=need_free_slot,
+            max_busy=max_busy,
         )
 
     def _dispatch(
@@ -612,7 +616,9 @@
         if state.attempt_count >= _MAX_ATTEMPTS:
             return
         record = None
-        if not len(self._queue):
+        # Waiting short calls mean saturation. Waiting pulls do not: they
+        # also wait for their share while slots are free.
+        if not self._queue.short_calls:
             record = self._choose(state, now, need_free_slot=True)
         if record is not None and self._hedge_budget.spend():
             self._dispatch(state, record, now, actions, is_hedge=True)
@@ -622,9 +628,17 @@
             self._arm_hedge(call, now)
 
     def _pull_cap(self) -> int:
+        """Returns the pulls that this gateway may always run.
+
+        Beyond it, up to the share of all slots, a pull needs an upstream
+        that stays below the share with it: other gateways leave theirs.
+        """
         total = self._view.total_slots
         return max(1, int(self._pull_slot_share * total / self._gateways))
 
+    def _max_pulls(self) -> int:
+        return max(1, int(self._pull_slot_share * self._view.total_slots))
+
     def _queue_limit(self) -> int:
         return max(_MIN_QUEUE, _QUEUE_PER_SLOT * self._view.total_slots)
 
@@ -636,13 +650,15 @@
         return call.deadline - min(margin_s, half_s)
 
     def _expected_wait_s(self, call: calls.Call) -> float:
-        mean_s = self._latency_s.get(call.call_class, _DEFAULT_LATENCY_S)
-        ahead = self._queue.ahead_of(call)
-        if call.call_class is calls.CallClass.PULL and self._on.classes:
-            parallel = self._pull_cap()
-        else:
-            parallel = max(1, self._own - self._own_pulls)
-        return ahead * mean_s / parallel
+        wait_s = 0.0
+        for call_class, ahead in self._queue.ahead_of(call).items():
+            mean_s = self._latency_s.get(call_class, _DEFAULT_LATENCY_S)
+            if call_class is calls.CallClass.PULL and self._on.classes:
+                parallel = self._pull_cap()
+            else:
+                parallel = max(1, self._own - self._own_pulls)
+            wait_s += ahead * mean_s / parallel
+        return wait_s
 
     def _refusal(
         self, call: calls.Call, code: errors.ErrorCode, wait_s: float
