--- /dev/null
+++ b/tests/coordination/test_claims_machine.py
@@ -0,0 +1,498 @@
+"""Property tests of the claim protocol against a simple oracle.
+
+Several agents share a table whose transactions can be lost, delayed past
+their timeout or answered late. The oracle only counts runs of each key.
+"""
+
+import dataclasses
+import itertools
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from tanagerspoke.coordination import claims as protocol
+from tanagerspoke.protocol import agent
+from tanagerspoke.protocol import platform
+from tanagerspoke.standins import platform as standin
+from tanagerspoke.state import claims as rows
+
+_LIMITS = protocol.Limits(
+    writes_per_s=60.0, group_rows=4, retention_s=86_400.0, max_entries=50
+)
+_SETTLE_S = 30.0
+_HEADERS = (("Content-Type", "text/plain"),)
+_AGENTS = st.integers(0, 1)
+_PICKS = st.integers(0, 1_000)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Attempt:
+    """A gateway's attempt at a write; `reply` is None while it waits."""
+
+    request: agent.ClaimRequest
+    agent: int
+    process: protocol.ClaimProtocol
+    deadline: float
+    reply: agent.ClaimReply | None = None
+    ran: bool = False
+    not_run: bool = False
+    exempt: bool = False
+    completion: agent.CompleteRequest | None = None
+
+    @property
+    def name(self) -> str:
+        return f"{self.request.key}/{self.request.attempt_id}"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Operation:
+    """An operation on its way to the platform."""
+
+    agent: int
+    action: protocol.Action
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Agents, gateways and the platform in virtual time."""
+
+    protocol_class = protocol.ClaimProtocol
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.table = standin.Table()
+        self.history: dict[str, list[platform.Row | None]] = {}
+        self.objects: dict[str, bytes] = {}
+        self.operations: list[Operation] = []
+        self.ghosts: list[platform.Transaction] = []
+        self.attempts: list[Attempt] = []
+        self.asked: dict[int, Attempt] = {}
+        self.runs: dict[str, list[Attempt]] = {}
+        self.answers: dict[str, agent.Finished] = {}
+        self.ids = itertools.count(1)
+        self.agents = [self.new_agent(number) for number in range(2)]
+
+    def new_agent(self, number: int) -> protocol.ClaimProtocol:
+        return self.protocol_class(
+            limits=_LIMITS,
+            writer_id=f"writer-{number}-{next(self.ids)}",
+            wall_clock_ms=lambda: int(self.now * 1000),
+            rng=random.Random(number),
+        )
+
+    def give(self, number: int, event: protocol.Event) -> None:
+        for action in self.agents[number].handle(event=event, now=self.now):
+            match action:
+                case protocol.Reply(request_id=request_id, reply=reply):
+                    self.take_reply(self.asked.pop(request_id), reply)
+                case protocol.CompletionDone(request_id=request_id):
+                    if action.accepted:
+                        self.asked.pop(request_id).completion = None
+                case protocol.Contradiction():
+                    raise AssertionError(f"contradiction: {action}")
+                case _:
+                    self.operations.append(
+                        Operation(agent=number, action=action)
+                    )
+
+    def take_reply(self, attempt: Attempt, reply: agent.ClaimReply) -> None:
+        granted = isinstance(reply, agent.Granted)
+        assert not (granted and attempt.not_run), "granted after not run"
+        if attempt.reply is not None:
+            return
+        attempt.reply = reply
+        if isinstance(reply, agent.StoreUnavailable):
+            attempt.not_run = True
+        if isinstance(reply, agent.Replay):
+            assert self.answers[attempt.request.key] == agent.Finished(
+                status=reply.status, headers=reply.headers, body=reply.body
+            )
+
+    def complete(self, attempt: Attempt, result) -> None:
+        request = attempt.request
+        attempt.completion = agent.CompleteRequest(
+            client_account=request.client_account,
+            service=request.service,
+            key=request.key,
+            digest=request.digest,
+            attempt_id=request.attempt_id,
+            result=result,
+        )
+        self.send_completion(attempt)
+
+    def send_completion(self, attempt: Attempt) -> None:
+        request_id = next(self.ids)
+        self.asked[request_id] = attempt
+        self.give(
+            attempt.agent,
+            protocol.CompletionAsked(
+                request_id=request_id, completion=attempt.completion
+            ),
+        )
+
+    def send_claim(self, attempt: Attempt) -> None:
+        request_id = next(self.ids)
+        self.asked[request_id] = attempt
+        event = protocol.ClaimAsked(
+            request_id=request_id, claim=attempt.request
+        )
+        self.give(attempt.agent, event)
+
+    def apply(
+        self, transaction: platform.Transaction
+    ) -> platform.TransactionReply:
+        for operation in transaction.operations:
+            past = self.history.setdefault(operation.key, [None])
+            past.append(self.table.get(operation.key, now=self.now))
+        return self.table.transact(transaction, now=self.now)
+
+    def pass_time(self, seconds: float) -> None:
+        end = self.now + seconds
+        while True:
+            wakeups = [
+                (wakeup, number)
+                for number, machine in enumerate(self.agents)
+                if (wakeup := machine.next_wakeup) is not None
+            ]
+            wakeup, number = min(wakeups, default=(end + 1, 0))
+            if wakeup > end:
+                break
+            self.now = max(self.now, wakeup)
+            self.give(number, protocol.Tick())
+        self.now = end
+
+    def some(self, pick: int, found: list):
+        return found[pick % len(found)] if found else None
+
+    def waiting(self) -> list[Attempt]:
+        return [a for a in self.attempts if a.reply is None and not a.not_run]
+
+    def holders(self) -> list[Attempt]:
+        return [
+            a
+            for a in self.attempts
+            if isinstance(a.reply, agent.Granted)
+            and not (a.ran or a.not_run or a.exempt)
+        ]
+
+    # Gateways.
+
+    @stateful.rule(
+        number=_AGENTS,
+        key=st.sampled_from(["a", "b"]),
+        digest=st.sampled_from(["x"] * 7 + ["y"]),
+        deadline_ms=st.sampled_from([300, 10_000]),
+    )
+    def ask(self, number, key, digest, deadline_ms):
+        attempt = Attempt(
+            request=agent.ClaimRequest(
+                client_account="account",
+                service="booking",
+                key=key,
+                digest=digest,
+                attempt_id=f"attempt-{next(self.ids)}",
+                deadline_ms=deadline_ms,
+            ),
+            agent=number,
+            process=self.agents[number],
+            deadline=self.now + deadline_ms / 1000,
+        )
+        self.attempts.append(attempt)
+        self.send_claim(attempt)
+
+    @stateful.rule(pick=_PICKS)
+    def repeat(self, pick):
+        """Asks again for any attempt, as a late duplicate message would."""
+        attempt = self.some(pick, self.attempts[-8:])
+        if attempt is None or attempt.exempt:
+            return
+        # A duplicate cannot outlive the connection to a killed agent.
+        if attempt.process is self.agents[attempt.agent]:
+            self.send_claim(attempt)
+
+    @stateful.precondition(lambda self: self.waiting())
+    @stateful.rule(pick=_PICKS)
+    def leave(self, pick):
+        attempt = self.some(pick, self.waiting())
+        attempt.not_run = True
+        for request_id in [r for r, a in self.asked.items() if a is attempt]:
+            event = protocol.AskerLeft(
+                request_id=request_id, attempt_id=attempt.request.attempt_id
+            )
+            self.give(attempt.agent, event)
+        self.complete(attempt, agent.NotRun())
+
+    @stateful.precondition(lambda self: self.holders())
+    @stateful.rule(pick=_PICKS, end=st.sampled_from(["finished", "large"]))
+    def run(self, pick, end):
+        self.end_run(self.some(pick, self.holders()), end)
+
+    @stateful.precondition(lambda self: self.holders())
+    @stateful.rule(
+        pick=_PICKS, end=st.sampled_from(["unknown", "shed", "killed"])
+    )
+    def run_badly(self, pick, end):
+        self.end_run(self.some(pick, self.holders()), end)
+
+    def end_run(self, attempt: Attempt, end: str) -> None:
+        if end == "shed" or self.now >= attempt.deadline:
+            attempt.not_run = True
+            self.complete(attempt, agent.NotRun())
+            return
+        key = attempt.request.key
+        attempt.ran = True
+        self.runs.setdefault(key, []).append(attempt)
+        assert len(self.runs[key]) == 1, f"key {key} ran twice"
+        if end == "killed":
+            return
+        if end == "unknown":
+            self.complete(attempt, agent.Unknown())
+            return
+        size = 9_000 if end == "large" else 10
+        body = attempt.request.attempt_id.encode().ljust(size, b"\xff")
+        finished = agent.Finished(status=201, headers=_HEADERS, body=body)
+        self.answers[key] = finished
+        self.complete(attempt, finished)
+
+    @stateful.precondition(lambda self: self.holders())
+    @stateful.rule(pick=_PICKS)
+    def kill_gateway(self, pick):
+        live = [a for a in self.attempts if not a.exempt]
+        attempt = self.some(pick, live)
+        attempt.exempt = True
+        attempt.completion = None
+
+    @stateful.rule(number=_AGENTS)
+    def kill_agent(self, number):
+        """The agent restarts without memory; its transactions may land."""
+        self.agents[number] = self.new_agent(number)
+        for operation in self.operations:
+            action = operation.action
+            if operation.agent == number and isinstance(
+                action, protocol.Transact
+            ):
+                self.ghosts.append(action.transaction)
+        self.operations = [o for o in self.operations if o.agent != number]
+        for attempt in self.attempts:
+            if attempt.agent != number or attempt.exempt:
+                continue
+            if attempt.completion is not None:
+                self.send_completion(attempt)
+            elif attempt.reply is None and not attempt.not_run:
+                attempt.not_run = True
+                self.complete(attempt, agent.NotRun())
+            elif attempt.not_run:
+                # This agent's own queue of releases was lost with it.
+                attempt.exempt = True
+
+    # Platform.
+
+    @stateful.precondition(lambda self: self.operations)
+    @stateful.rule()
+    def answer_all(self):
+        for _ in range(len(self.operations)):
+            self.finish(self.operations.pop(0), "answered", 0)
+
+    @stateful.precondition(lambda self: self.operations)
+    @stateful.rule(
+        pick=_PICKS,
+        fate=st.sampled_from(["answered", "lost", "delayed", "failed"]),
+    )
+    def operate(self, pick, fate):
+        operation = self.operations.pop(pick % len(self.operations))
+        self.finish(operation, fate, pick)
+
+    def finish(self, operation: Operation, fate: str, pick: int) -> None:
+        action = operation.action
+        op_id = action.op_id
+        event: protocol.Event = protocol.Unanswered(op_id=op_id)
+        match action:
+            case protocol.Transact():
+                event = self.finish_transaction(action, fate)
+            case protocol.Read(key=key):
+                if fate == "answered":
+                    row = self.table.get(key, now=self.now)
+                    event = protocol.RowRead(op_id=op_id, row=row)
+                elif fate == "delayed":
+                    stale = self.some(pick, self.history.get(key, [None]))
+                    event = protocol.RowRead(op_id=op_id, row=stale)
+            case protocol.StoreObject(key=key, data=data):
+                if fate != "failed":
+                    self.objects.setdefault(key, data)
+                event = protocol.ObjectStored(
+                    op_id=op_id, stored=fate == "answered"
+                )
+            case protocol.ReadObject(key=key):
+                found = self.objects.get(key) if fate == "answered" else None
+                event = protocol.ObjectRead(op_id=op_id, data=found)
+        self.give(operation.agent, event)
+
+    def finish_transaction(
+        self, action: protocol.Transact, fate: str
+    ) -> protocol.Event:
+        if fate == "delayed":
+            self.ghosts.append(action.transaction)
+        elif fate != "failed":
+            reply = self.apply(action.transaction)
+            if fate == "answered":
+                return protocol.Transacted(op_id=action.op_id, reply=reply)
+        return protocol.Unanswered(op_id=action.op_id)
+
+    @stateful.precondition(lambda self: self.ghosts)
+    @stateful.rule(pick=_PICKS)
+    def land_delayed(self, pick):
+        self.apply(self.ghosts.pop(pick % len(self.ghosts)))
+
+    @stateful.rule(seconds=st.sampled_from([0.02, 0.02, 0.3, 1.0, 8.0]))
+    def wait(self, seconds):
+        self.pass_time(seconds)
+
+    @stateful.rule(first=st.booleans())
+    def settle(self, first):
+        """The store is up; delayed transactions land before or after."""
+        if first:
+            self.land_all()
+        self.work_off()
+        self.land_all()
+        self.work_off()
+        for attempt in self.attempts:
+            answered = attempt.reply is not None
+            granted = isinstance(attempt.reply, agent.Granted)
+            if attempt.exempt or not (
+                attempt.not_run or (answered and not granted)
+            ):
+                continue
+            assert not attempt.ran, f"{attempt.name} was told not run"
+            assert not self.is_claimed(attempt), f"{attempt.name} is stuck"
+
+    def land_all(self) -> None:
+        for transaction in self.ghosts:
+            self.apply(transaction)
+        self.ghosts.clear()
+
+    def work_off(self) -> None:
+        end = self.now + _SETTLE_S
+        while self.now < end and self.has_work():
+            while self.operations:
+                self.finish(self.operations.pop(0), "answered", 0)
+            self.pass_time(0.1)
+        assert not any(machine.unwritten for machine in self.agents)
+
+    def has_work(self) -> bool:
+        unwritten = any(machine.unwritten for machine in self.agents)
+        return bool(self.operations or unwritten or self.waiting())
+
+    def is_claimed(self, attempt: Attempt) -> bool:
+        request = attempt.request
+        key = rows.row_key(
+            client_account=request.client_account,
+            service=request.service,
+            key=request.key,
+        )
+        row = self.table.get(key, now=self.now)
+        value = None if row is None else rows.decode(row.value)
+        return (
+            value is not None
+            and value.attempt_id == request.attempt_id
+            and value.state is rows.ClaimState.CLAIMED
+        )
+
+    def teardown(self) -> None:
+        self.settle(first=False)
+
+
+class DeletingRelease(protocol.ClaimProtocol):
+    """Broken: releases by deletion, so that a delayed insert succeeds."""
+
+    def _operation(self, entry, group):
+        made = super()._operation(entry, group)
+        if rows.decode(made.write.value).state is rows.ClaimState.RELEASED:
+            return platform.Operation(
+                key=made.key,
+                condition=made.condition,
+                write=platform.Delete(),
+            )
+        return made
+
+
+class NoReadBack(protocol.ClaimProtocol):
+    """Broken: takes a lost answer for proof that nothing was written."""
+
+    def _take_silence(self, op_id, now):
+        group = self._in_flight
+        super()._take_silence(op_id, now)
+        if group is None or group.op_id != op_id:
+            return
+        self._unsettled = None
+        for entry in group.entries:
+            if self._is_open(entry) and hasattr(entry, "request"):
+                self._answer(entry, entry.last_resort)
+
+
+class ReadIsProof(protocol.ClaimProtocol):
+    """Broken: a row read back with an attempt of the group settles all."""
+
+    def _take_row(self, event, now):
+        group = self._unsettled
+        value = rows.decode(event.row.value) if event.row else None
+        if group is not None and value is not None:
+            ours = {entry.attempt_id for entry in group.entries}
+            if value.attempt_id in ours:
+                group.write_id = value.write_id
+        super()._take_row(event, now)
+
+
+class ExpiredClaimIsFree(protocol.ClaimProtocol):
+    """Broken: a claim past its deadline is replaced by another attempt."""
+
+    def _resolve_claim(self, claim, row, now):
+        value = None if row is None else rows.decode(row.value)
+        claimed = value is not None and value.state is rows.ClaimState.CLAIMED
+        if claimed and self._wall_clock_ms() > value.deadline_at_ms:
+            claim.condition = platform.VersionIs(version=row.version)
+            return self._is_open(claim)
+        return super()._resolve_claim(claim, row, now)
+
+
+_SETTINGS = hypothesis.settings(
+    max_examples=300,
+    stateful_step_count=60,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def test_keeps_the_invariants() -> None:
+    """Guards against second runs, false "not run" and stuck claims."""
+    stateful.run_state_machine_as_test(ClaimMachine, settings=_SETTINGS)
+
+
+@pytest.mark.parametrize(
+    ("broken", "message"),
+    [
+        (DeletingRelease, "is stuck"),
+        (NoReadBack, "is stuck"),
+        (ReadIsProof, "is stuck"),
+        (ExpiredClaimIsFree, "ran twice"),
+    ],
+)
+def test_finds_the_fault_of_a_broken_variant(broken, message) -> None:
+    """Guards against a machine that is too weak to see these faults."""
+
+    class BrokenMachine(ClaimMachine):
+        protocol_class = broken
+
+    settings = hypothesis.settings(
+        _SETTINGS,
+        max_examples=2_000,
+        phases=[hypothesis.Phase.generate],
+        report_multiple_bugs=False,
+        print_blob=False,
+    )
+    with pytest.raises(AssertionError, match=message):
+        stateful.run_state_machine_as_test(BrokenMachine, settings=settings)
