Run writes at most once through the claim protocol

Cause: the gateway released and recorded claims on the caller's time, lost a release when the agent was gone, dispatched after its deadline when it had been paused, and left the claim behind when its caller hung up.

Change: the claim service carries out the protocol's actions, counts claims, group rows and platform errors, and answers a completion when it is in the table. The gateway service closes the queue before its dispatchers.

--- a/tanagerspoke/transport/claim_service.py
+++ b/tanagerspoke/transport/claim_service.py
@@ -1,120 +1,292 @@
-"""The agent's service for claims on writes."""
+"""The agent's service for claims on writes: sockets, tasks and metrics."""
 
+import asyncio
+from collections.abc import Coroutine
+import contextlib
+import itertools
 import logging
+import random
 import time
+from typing import Any, Protocol
+import uuid
 
 import mode
+import prometheus_client
 
 from tanagerspoke import exceptions
+from tanagerspoke.coordination import claims
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import platform
 from tanagerspoke.settings import options
-from tanagerspoke.state import claims
 from tanagerspoke.transport import platform_client
 
 log = logging.getLogger(__name__)
 
+_RESULTS = {
+    agent.Granted: "granted",
+    agent.Replay: "replay",
+    agent.InProgress: "in_progress",
+    agent.OutcomeUnknown: "outcome_unknown",
+    agent.KeyReused: "key_reused",
+    agent.StoreUnavailable: "store_unavailable",
+}
+
+
+class ClaimMetrics(Protocol):
+    """What the claim service reports."""
+
+    def count_claim(self, result: str) -> None:
+        """Counts an answered claim."""
+
+    def observe_group(self, rows: int) -> None:
+        """Notes the number of rows of a transaction."""
+
+    def count_platform_error(self, operation: str) -> None:
+        """Counts an operation of the platform that failed."""
+
+
+class NoMetrics:
+    """Discards all metrics."""
+
+    def count_claim(self, result: str) -> None:
+        """Does nothing."""
+
+    def observe_group(self, rows: int) -> None:
+        """Does nothing."""
+
+    def count_platform_error(self, operation: str) -> None:
+        """Does nothing."""
+
+
+class PrometheusMetrics:
+    """Claim metrics in a prometheus registry."""
+
+    def __init__(self, *, registry: prometheus_client.CollectorRegistry):
+        self._claims = prometheus_client.Counter(
+            "tanagerspoke_claims",
+            "Answered claims on writes.",
+            ("result",),
+            registry=registry,
+        )
+        self._group_rows = prometheus_client.Histogram(
+            "tanagerspoke_claim_group_rows",
+            "Rows of one claim transaction.",
+            buckets=(1, 2, 4, 8, 16, 32, 64, 128, 256),
+            registry=registry,
+        )
+        self._errors = prometheus_client.Counter(
+            "tanagerspoke_platform_errors",
+            "Operations of the platform without a valid answer.",
+            ("operation",),
+            registry=registry,
+        )
+
+    def count_claim(self, result: str) -> None:
+        """Counts an answered claim."""
+        self._claims.labels(result).inc()
+
+    def observe_group(self, rows: int) -> None:
+        """Notes the number of rows of a transaction."""
+        self._group_rows.observe(rows)
+
+    def count_platform_error(self, operation: str) -> None:
+        """Counts an operation of the platform that failed."""
+        self._errors.labels(operation).inc()
+
 
 class ClaimService(mode.Service):
-    """Writes claims and outcome records to the platform's table."""
+    """Carries out what the claim protocol decides."""
 
     def __init__(
         self,
         *,
         cfg: options.Store,
         platform: platform_client.PlatformClient,
+        metrics: ClaimMetrics | None = None,
     ) -> None:
         super().__init__()
-        self._cfg = cfg
         self._platform = platform
+        self._metrics = metrics or NoMetrics()
+        self._protocol = claims.ClaimProtocol(
+            limits=claims.Limits(
+                writes_per_s=cfg.writes_per_s,
+                group_rows=cfg.group_rows,
+                retention_s=cfg.claim_retention_s,
+            ),
+            writer_id=uuid.uuid4().hex[:12],
+            wall_clock_ms=lambda: int(time.time() * 1000),
+            rng=random.Random(),
+        )
+        self._request_ids = itertools.count(1)
+        self._replies: dict[int, asyncio.Future[Any]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._all_written = asyncio.Event()
+        self._all_written.set()
 
     async def claim(self, request: agent.ClaimRequest) -> agent.ClaimReply:
-        """Inserts the claim row if it is absent."""
-        key = claims.row_key(
-            client_account=request.client_account,
-            service=request.service,
-            key=request.key,
-        )
-        row = claims.ClaimRow(
-            attempt_id=request.attempt_id,
-            digest=request.digest,
-            state=claims.ClaimState.CLAIMED,
-            deadline_at_ms=int(time.time() * 1000) + request.deadline_ms,
-        )
+        """Claims the right to run a write.
+
+        A cancelled call counts as a gateway that left.
+        """
+        request_id, fut = self._new_request()
+        self._handle(claims.ClaimAsked(request_id=request_id, claim=request))
         try:
-            reply = await self._platform.transact(
-                _put(key, platform.Absent(), row)
+            reply = await fut
+        except asyncio.CancelledError:
+            self._handle(
+                claims.AskerLeft(
+                    request_id=request_id, attempt_id=request.attempt_id
+                )
             )
-        except exceptions.PlatformError:
-            return agent.StoreUnavailable(retry_after_s=1.0)
-        match reply:
-            case platform.Committed():
-                return agent.Granted()
-            case platform.Rejected(conflicts=(conflict, *_)):
-                return _existing(request, claims.decode(conflict.row.value))
-        return agent.StoreUnavailable(retry_after_s=1.0)
+            raise
+        finally:
+            del self._replies[request_id]
+        self._metrics.count_claim(_RESULTS[type(reply)])
+        return reply
 
     async def complete(
         self, request: agent.CompleteRequest
     ) -> agent.CompleteReply:
-        """Writes the outcome record."""
-        key = claims.row_key(
-            client_account=request.client_account,
-            service=request.service,
-            key=request.key,
+        """Returns when the release or outcome is in the table.
+
+        Raises:
+            PlatformUnavailableError: too many records wait for the table.
+        """
+        request_id, fut = self._new_request()
+        self._handle(
+            claims.CompletionAsked(request_id=request_id, completion=request)
         )
-        state = claims.ClaimState.UNKNOWN
-        answer = None
-        match request.result:
-            case agent.Finished(status=status, headers=headers, body=body):
-                state = claims.ClaimState.FINISHED
-                answer = claims.StoredAnswer(
-                    status=status, headers=headers, body=body
-                )
-            case agent.NotRun():
-                state = claims.ClaimState.RELEASED
-        await self._platform.transact(
-            _put(
-                key,
-                platform.Always(),
-                claims.ClaimRow(
-                    attempt_id=request.attempt_id,
-                    digest=request.digest,
-                    state=state,
-                    deadline_at_ms=0,
-                    answer=answer,
-                ),
+        try:
+            accepted = await fut
+        finally:
+            del self._replies[request_id]
+        if not accepted:
+            raise exceptions.PlatformUnavailableError(
+                "too many outcomes wait for the table; report this one later"
             )
-        )
         return agent.CompleteReply()
 
+    async def flush(self, *, timeout_s: float) -> int:
+        """Waits until all records are written; returns how many are not."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._all_written.wait(), timeout_s)
+        return self._protocol.unwritten
 
-def _put(
-    key: str, condition: platform.Condition, row: claims.ClaimRow
-) -> platform.Transaction:
-    return platform.Transaction(
-        operations=(
-            platform.Operation(
-                key=key,
-                condition=condition,
-                write=platform.Put(value=claims.encode(row)),
-            ),
-        )
-    )
-
-
-def _existing(
-    request: agent.ClaimRequest, row: claims.ClaimRow
-) -> agent.ClaimReply:
-    if row.digest != request.digest:
-        return agent.KeyReused()
-    match row.state:
-        case claims.ClaimState.FINISHED if row.answer is not None:
-            return agent.Replay(
-                status=row.answer.status,
-                headers=row.answer.headers,
-                body=row.answer.body,
+    async def on_stop(self) -> None:
+        """Cancels the operations under way."""
+        if self._protocol.unwritten:
+            log.warning(
+                "claim_records_lost", extra={"rows": self._protocol.unwritten}
             )
-        case claims.ClaimState.CLAIMED:
-            return agent.InProgress(retry_after_s=1.0)
-    return agent.OutcomeUnknown()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _new_request(self) -> tuple[int, asyncio.Future[Any]]:
+        request_id = next(self._request_ids)
+        fut = asyncio.get_running_loop().create_future()
+        self._replies[request_id] = fut
+        return request_id, fut
+
+    def _handle(self, event: claims.Event) -> None:
+        now = time.monotonic()
+        for action in self._protocol.handle(event=event, now=now):
+            self._carry_out(action)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._protocol.unwritten:
+            self._all_written.clear()
+        else:
+            self._all_written.set()
+        wakeup = self._protocol.next_wakeup
+        if wakeup is not None and not self.should_stop:
+            self._timer = asyncio.get_running_loop().call_later(
+                max(0.0, wakeup - now), self._handle, claims.Tick()
+            )
+
+    def _carry_out(self, action: claims.Action) -> None:
+        match action:
+            case claims.Transact():
+                rows = len(action.transaction.operations)
+                self._metrics.observe_group(rows)
+                self._spawn(self._transact(action))
+            case claims.Read():
+                self._spawn(self._read(action))
+            case claims.StoreObject():
+                self._spawn(self._store_object(action))
+            case claims.ReadObject():
+                self._spawn(self._read_object(action))
+            case claims.Reply(request_id=request_id, reply=reply):
+                self._resolve(request_id, reply)
+            case claims.CompletionDone():
+                self._resolve(action.request_id, action.accepted)
+            case claims.Contradiction():
+                log.error(
+                    "claim_record_contradicts_row",
+                    extra={
+                        "row": action.key,
+                        "attempt_id": action.attempt_id,
+                        "state": action.state,
+                    },
+                )
+
+    def _resolve(self, request_id: int, value: Any) -> None:
+        fut = self._replies.get(request_id)
+        if fut is not None and not fut.done():
+            fut.set_result(value)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _transact(self, action: claims.Transact) -> None:
+        event: claims.Event = claims.Unanswered(op_id=action.op_id)
+        try:
+            reply = await self._platform.transact(action.transaction)
+            event = claims.Transacted(op_id=action.op_id, reply=reply)
+        except exceptions.PlatformError as exc:
+            self._note_error("transact", exc)
+        self._handle(event)
+
+    async def _read(self, action: claims.Read) -> None:
+        event: claims.Event = claims.Unanswered(op_id=action.op_id)
+        try:
+            row: platform.Row | None = await self._platform.get(action.key)
+            event = claims.RowRead(op_id=action.op_id, row=row)
+        except exceptions.PlatformError as exc:
+            self._note_error("get", exc)
+        self._handle(event)
+
+    async def _store_object(self, action: claims.StoreObject) -> None:
+        stored = False
+        try:
+            # An object that exists was put by an earlier try of this attempt.
+            await self._platform.put_object(key=action.key, data=action.data)
+            stored = True
+        except exceptions.PlatformError as exc:
+            self._note_error("put_object", exc)
+        self._handle(claims.ObjectStored(op_id=action.op_id, stored=stored))
+
+    async def _read_object(self, action: claims.ReadObject) -> None:
+        data = None
+        try:
+            data = await self._platform.get_object(action.key)
+        except exceptions.PlatformError as exc:
+            self._note_error("get_object", exc)
+        self._handle(claims.ObjectRead(op_id=action.op_id, data=data))
+
+    def _note_error(
+        self, operation: str, exc: exceptions.PlatformError
+    ) -> None:
+        self._metrics.count_platform_error(operation)
+        log.warning(
+            "claim_operation_unanswered",
+            extra={"operation": operation, "error": str(exc)},
+        )
--- a/tanagerspoke/transport/gateway_service.py
+++ b/tanagerspoke/transport/gateway_service.py
@@ -79,6 +79,7 @@
     async def on_stop(self) -> None:
         """Closes the ports."""
         await self._server.close()
+        await self._keyed_writes.close()
         for service in self._dispatchers.values():
             service.close()
         await self._admin.close()
