Bound the queue of claims and add its benchmark

Cause: a queue of an overloaded agent held only claims that were about to be given up, so most transactions wrote claims that then needed a release.

Change: a claim is refused at once where its expected wait exceeds half of the answer bound, and one that the table cannot settle in time is answered without being sent. The write rate can be charged by rows. bench/claims.py measures claims a second and latency against the group size in virtual time.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module runs with `python -m bench.<module>`."""
--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,258 @@
+"""Claims a second and added latency against the group size.
+
+Runs the claim protocol in virtual time against a table that takes a stated
+number of writes a second, counted by transactions or by rows. Clients ask at
+a constant rate with random gaps; each grant is completed after the service
+time of the upstream, so half of the rows are outcome records.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import json
+import random
+import time
+
+import cyclopts
+from hdrh import histogram
+
+from tanagerspoke.coordination import claims
+from tanagerspoke.protocol import agent
+from tanagerspoke.protocol import platform
+from tanagerspoke.standins import platform as standin
+
+_UPSTREAM_S = 0.02
+_MAX_LATENCY_US = 60_000_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Case:
+    """One row of the table."""
+
+    counted_by: str
+    group_rows: int
+    offered_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Result:
+    """Figures of one case; latency is from asking to the grant."""
+
+    counted_by: str
+    group_rows: int
+    offered_per_s: float
+    granted_per_s: float
+    refused_share: float
+    p50_ms: float
+    p99_ms: float
+    rows_per_transaction: float
+    cpu_us_per_claim: float
+
+
+class Simulation:
+    """One agent and one table in virtual time."""
+
+    def __init__(
+        self,
+        *,
+        case: Case,
+        writes_per_s: float,
+        round_trip_s: float,
+        duration_s: float,
+        seed: int,
+    ) -> None:
+        self._case = case
+        self._writes_per_s = writes_per_s
+        self._round_trip_s = round_trip_s
+        self._duration_s = duration_s
+        self._rng = random.Random(seed)
+        self._now = 0.0
+        self._events: list = []
+        self._order = itertools.count()
+        self._table = standin.Table()
+        self._table_free_at = 0.0
+        self._asked_at: dict[int, float] = {}
+        self._latency = histogram.HdrHistogram(1, _MAX_LATENCY_US, 3)
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._protocol = claims.ClaimProtocol(
+            limits=claims.Limits(
+                writes_per_s=writes_per_s,
+                group_rows=case.group_rows,
+                retention_s=3_600.0,
+                max_entries=1_000_000,
+                charge_rows=case.counted_by == "rows",
+            ),
+            writer_id="bench",
+            wall_clock_ms=lambda: int(self._now * 1000),
+            rng=self._rng,
+        )
+
+    def run(self) -> Result:
+        """Runs the case and returns its figures."""
+        self._at(0.0, self._ask, 1)
+        started = time.process_time()
+        while self._events:
+            self._now, _, work, argument = heapq.heappop(self._events)
+            if self._now > self._duration_s:
+                break
+            work(argument)
+        cpu_s = time.process_time() - started
+        answered = self._counts["granted"] + self._counts["refused"]
+        return Result(
+            counted_by=self._case.counted_by,
+            group_rows=self._case.group_rows,
+            offered_per_s=self._case.offered_per_s,
+            granted_per_s=round(self._counts["granted"] / self._duration_s, 1),
+            refused_share=round(self._counts["refused"] / max(1, answered), 4),
+            p50_ms=self._quantile_ms(50),
+            p99_ms=self._quantile_ms(99),
+            rows_per_transaction=round(
+                self._counts["rows"] / max(1, self._counts["transactions"]), 2
+            ),
+            cpu_us_per_claim=round(1e6 * cpu_s / max(1, answered), 1),
+        )
+
+    def _quantile_ms(self, quantile: float) -> float:
+        value = self._latency.get_value_at_percentile(quantile)
+        return round(value / 1000, 2)
+
+    def _at(self, at: float, work, argument) -> None:
+        heapq.heappush(self._events, (at, next(self._order), work, argument))
+
+    def _ask(self, number: int) -> None:
+        gap_s = self._rng.expovariate(self._case.offered_per_s)
+        self._at(self._now + gap_s, self._ask, number + 1)
+        self._asked_at[number] = self._now
+        self._give(
+            claims.ClaimAsked(
+                request_id=number,
+                claim=agent.ClaimRequest(
+                    client_account="bench",
+                    service="booking",
+                    key=str(number),
+                    digest="digest",
+                    attempt_id=str(number),
+                    deadline_ms=5_000,
+                ),
+            )
+        )
+
+    def _complete(self, number: int) -> None:
+        self._give(
+            claims.CompletionAsked(
+                request_id=-number,
+                completion=agent.CompleteRequest(
+                    client_account="bench",
+                    service="booking",
+                    key=str(number),
+                    digest="digest",
+                    attempt_id=str(number),
+                    result=agent.Finished(
+                        status=200, headers=(), body=b"booked"
+                    ),
+                ),
+            )
+        )
+
+    def _give(self, event: claims.Event) -> None:
+        for action in self._protocol.handle(event=event, now=self._now):
+            match action:
+                case claims.Transact():
+                    self._transact(action)
+                case claims.Reply():
+                    self._reply(action)
+        wakeup = self._protocol.next_wakeup
+        if wakeup is not None:
+            self._at(max(self._now, wakeup), self._tick, wakeup)
+
+    def _tick(self, wakeup: float) -> None:
+        # A wake-up that a later event replaced is skipped.
+        if self._protocol.next_wakeup == wakeup:
+            self._give(claims.Tick())
+
+    def _reply(self, action: claims.Reply) -> None:
+        asked_at = self._asked_at.pop(action.request_id)
+        if not isinstance(action.reply, agent.Granted):
+            self._counts["refused"] += 1
+            return
+        self._counts["granted"] += 1
+        self._latency.record_value(max(1, int(1e6 * (self._now - asked_at))))
+        self._at(self._now + _UPSTREAM_S, self._complete, action.request_id)
+
+    def _transact(self, action: claims.Transact) -> None:
+        rows = len(action.transaction.operations)
+        self._counts["transactions"] += 1
+        self._counts["rows"] += rows
+        cost = rows if self._case.counted_by == "rows" else 1
+        # The table takes writes one after another at its limit.
+        starts_at = max(self._now + self._round_trip_s / 2, self._table_free_at)
+        self._table_free_at = starts_at + cost / self._writes_per_s
+        answered_at = self._table_free_at + self._round_trip_s / 2
+        self._at(answered_at, self._answer, action)
+
+    def _answer(self, action: claims.Transact) -> None:
+        reply: platform.TransactionReply = self._table.transact(
+            action.transaction, now=self._now
+        )
+        self._give(claims.Transacted(op_id=action.op_id, reply=reply))
+
+
+def run(
+    *,
+    writes_per_s: float = 400.0,
+    round_trip_ms: float = 3.0,
+    duration_s: float = 10.0,
+    seed: int = 1,
+) -> None:
+    """Prints a table and one line of JSON.
+
+    Args:
+        writes_per_s: limit of the table.
+        round_trip_ms: time to the table and back, without its service time.
+        duration_s: virtual time of each case.
+        seed: seed of the arrivals.
+    """
+    results = []
+    print(
+        "counted by    group  offered/s  granted/s  refused  p50 ms  p99 ms"
+        "  rows/tx  cpu us"
+    )
+    for counted_by, group_rows, offered_per_s in itertools.product(
+        ("transactions", "rows"),
+        (1, 4, 16, 64),
+        (50.0, 150.0, 1_000.0, 5_000.0),
+    ):
+        case = Case(
+            counted_by=counted_by,
+            group_rows=group_rows,
+            offered_per_s=offered_per_s,
+        )
+        result = Simulation(
+            case=case,
+            writes_per_s=writes_per_s,
+            round_trip_s=round_trip_ms / 1000,
+            duration_s=duration_s,
+            seed=seed,
+        ).run()
+        results.append(dataclasses.asdict(result))
+        print(
+            f"{counted_by:12} {group_rows:6} {offered_per_s:10.0f}"
+            f" {result.granted_per_s:10.1f} {result.refused_share:8.3f}"
+            f" {result.p50_ms:7.2f} {result.p99_ms:7.2f}"
+            f" {result.rows_per_transaction:8.2f}"
+            f" {result.cpu_us_per_claim:7.1f}"
+        )
+    line = {
+        "bench": "claims",
+        "writes_per_s": writes_per_s,
+        "round_trip_ms": round_trip_ms,
+        "duration_s": duration_s,
+        "seed": seed,
+        "results": results,
+    }
+    print("BENCH " + json.dumps(line))
+
+
+if __name__ == "__main__":
+    cyclopts.run(run)
--- a/tanagerspoke/coordination/claims.py
+++ b/tanagerspoke/coordination/claims.py
@@ -27,6 +27,12 @@
 _BURST_S = 0.1
 _FIRST_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 2.0
+# Share of `answer_within_s` that a claim may spend in the queue. Without this
+# bound the queue of an overloaded agent holds only claims that are about to
+# be given up, and their releases take the place of others.
+_QUEUE_SHARE = 0.5
+# Weight of the last transaction in the mean duration.
+_DURATION_WEIGHT = 0.2
 # Consecutive failures after which new claims are refused without waiting. One
 # lost answer is settled by the read that follows at once.
 _DOWN_FAILURES = 2
@@ -38,7 +44,7 @@
     """Limits of the claim protocol in one agent.
 
     Attributes:
-        writes_per_s: most transactions a second.
+        writes_per_s: most transactions a second, or rows with `charge_rows`.
         group_rows: most rows of one transaction.
         retention_s: lifetime of rows.
         answer_within_s: longest wait of a claim for the table.
@@ -48,6 +54,7 @@
             place until it is completed, so its release always finds one.
         max_answer_bytes: most bytes of answers waiting to be recorded; above
             it a record is written without its answer.
+        charge_rows: whether the table counts rows instead of transactions.
     """
 
     writes_per_s: float
@@ -57,6 +64,7 @@
     grace_s: float = 5.0
     max_entries: int = 20_000
     max_answer_bytes: int = 33_554_432
+    charge_rows: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -334,6 +342,8 @@
         self._reading: int | None = None
         self._failures = 0
         self._not_before = 0.0
+        self._sent_at = 0.0
+        self._duration_s = 0.0
         self._tokens = 1.0
         self._tokens_at: float | None = None
         self._records_first = False
@@ -420,7 +430,17 @@
         if self._failures >= _DOWN_FAILURES:
             return True
         entries = len(self._claims) + len(self._grants) + self.unwritten
-        return entries >= self._limits.max_entries
+        if entries >= self._limits.max_entries:
+            return True
+        longest_s = _QUEUE_SHARE * self._limits.answer_within_s
+        return self._queue_wait_s() > longest_s
+
+    def _queue_wait_s(self) -> float:
+        """Returns the expected wait; records take half of each group."""
+        rows = self._limits.group_rows
+        cost = rows if self._limits.charge_rows else 1
+        interval_s = max(self._duration_s, cost / self._limits.writes_per_s)
+        return len(self._waiting) / (rows / 2) * interval_s
 
     def _start_claim(self, event: ClaimAsked, now: float) -> None:
         request = event.claim
@@ -649,8 +669,9 @@
         if self._unsettled is not None:
             self._read_back(self._unsettled)
             return
-        entries = self._next_entries()
+        entries = self._next_entries(now)
         if entries:
+            self._sent_at = now
             self._transact(entries)
 
     def _drop_answered(self) -> None:
@@ -670,7 +691,7 @@
         )
         self._actions.append(Read(op_id=self._reading, key=entry.key))
 
-    def _next_entries(self) -> list[_Entry]:
+    def _next_entries(self, now: float) -> list[_Entry]:
         # A group with a conflict is resubmitted without new rows: repeats of
         # used keys could otherwise make every transaction fail.
         if self._retry:
@@ -686,7 +707,7 @@
         self._records_first = not self._records_first
         taken: dict[str, _Entry] = {}
         self._take_records(taken, share)
-        self._take_claims(taken, rows)
+        self._take_claims(taken, rows, now)
         self._take_records(taken, rows)
         return list(taken.values())
 
@@ -696,20 +717,26 @@
                 return
             taken.setdefault(record.key, record)
 
-    def _take_claims(self, taken: dict[str, _Entry], limit: int) -> None:
+    def _take_claims(
+        self, taken: dict[str, _Entry], limit: int, now: float
+    ) -> None:
         skipped = []
+        # A claim that the table cannot settle in time would need a release.
+        settled_at = now + self._duration_s
         while self._waiting and len(taken) < limit:
             claim = self._waiting.popleft()
             if not self._is_open(claim):
                 continue
-            if claim.key in taken:
+            if claim.answer_by <= settled_at:
+                self._abandon(claim, now)
+            elif claim.key in taken:
                 skipped.append(claim)
             else:
                 taken[claim.key] = claim
         self._waiting.extendleft(reversed(skipped))
 
     def _transact(self, entries: list[_Entry]) -> None:
-        self._tokens -= 1.0
+        self._tokens -= len(entries) if self._limits.charge_rows else 1.0
         op_id = next(self._op_ids)
         group = _Group(
             op_id=op_id,
@@ -749,6 +776,7 @@
             case platform.Committed(version=version):
                 self._in_flight = None
                 self._failures = 0
+                self._note_duration(now)
                 self._take_commit(group, version, now)
             case platform.Rejected(conflicts=conflicts):
                 by_key = {c.key: c for c in conflicts}
@@ -760,6 +788,10 @@
                 self._failures = 0
                 self._take_conflicts(group, by_key, now)
 
+    def _note_duration(self, now: float) -> None:
+        last_s = now - self._sent_at
+        self._duration_s += _DURATION_WEIGHT * (last_s - self._duration_s)
+
     def _take_commit(self, group: _Group, version: int, now: float) -> None:
         for entry in group.entries:
             if isinstance(entry, _Record):
