--- a/bench/claims.py
+++ b/bench/claims.py
@@ -20,7 +20,7 @@
 from tanagerspoke.coordination import claims
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import platform
-from tanagerspoke.standins import platform as standin
+from tanagerspoke.standins import table as standin
 
 _UPSTREAM_S = 0.02
 _MAX_LATENCY_US = 60_000_000
--- a/tanagerspoke/coordination/admission.py
+++ b/tanagerspoke/coordination/admission.py
@@ -10,7 +10,7 @@
 _SHORT_CALLS_PER_PULL = 16
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Waiting:
     """A call in a queue.
 
--- a/tanagerspoke/coordination/claims.py
+++ b/tanagerspoke/coordination/claims.py
@@ -289,7 +289,7 @@
 _Entry: TypeAlias = _Claim | _Record
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Group:
     """Rows of one transaction."""
 
--- a/tanagerspoke/coordination/scheduling.py
+++ b/tanagerspoke/coordination/scheduling.py
@@ -50,7 +50,7 @@
     zone_preference: bool = True
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Attempt:
     record: loads.UpstreamLoad
     started_at: float
--- a/tests/coordination/test_claims.py
+++ b/tests/coordination/test_claims.py
@@ -5,7 +5,7 @@
 from tanagerspoke.coordination import claims as protocol
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import platform
-from tanagerspoke.standins import platform as standin
+from tanagerspoke.standins import table as standin
 from tanagerspoke.state import claims as rows
 
 
@@ -81,7 +81,7 @@
                 reply = self.table.transact(transaction, now=self.now)
                 event = protocol.Transacted(op_id=action.op_id, reply=reply)
             case protocol.Read(key=key):
-                row = self.table.get(key, now=self.now)
+                row = self.table.get(key, at=self.now)
                 event = protocol.RowRead(op_id=action.op_id, row=row)
         self.give(event)
 
@@ -99,9 +99,7 @@
                 self.answer() if up else self.lose()
 
     def row(self, number: int) -> rows.ClaimRow | None:
-        row = self.table.get(
-            f"claim/account/booking/key-{number}", now=self.now
-        )
+        row = self.table.get(f"claim/account/booking/key-{number}", at=self.now)
         return None if row is None else rows.decode(row.value)
 
 
--- a/tests/coordination/test_claims_machine.py
+++ b/tests/coordination/test_claims_machine.py
@@ -16,7 +16,7 @@
 from tanagerspoke.coordination import claims as protocol
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import platform
-from tanagerspoke.standins import platform as standin
+from tanagerspoke.standins import table as standin
 from tanagerspoke.state import claims as rows
 
 _LIMITS = protocol.Limits(
@@ -147,7 +147,7 @@
     ) -> platform.TransactionReply:
         for operation in transaction.operations:
             past = self.history.setdefault(operation.key, [None])
-            past.append(self.table.get(operation.key, now=self.now))
+            past.append(self.table.get(operation.key, at=self.now))
         return self.table.transact(transaction, now=self.now)
 
     def pass_time(self, seconds: float) -> None:
@@ -315,7 +315,7 @@
                 event = self.finish_transaction(action, fate)
             case protocol.Read(key=key):
                 if fate == "answered":
-                    row = self.table.get(key, now=self.now)
+                    row = self.table.get(key, at=self.now)
                     event = protocol.RowRead(op_id=op_id, row=row)
                 elif fate == "delayed":
                     stale = self.some(pick, self.history.get(key, [None]))
@@ -398,7 +398,7 @@
             service=request.service,
             key=request.key,
         )
-        row = self.table.get(key, now=self.now)
+        row = self.table.get(key, at=self.now)
         value = None if row is None else rows.decode(row.value)
         return (
             value is not None
@@ -447,7 +447,9 @@
         if group is not None and value is not None:
             ours = {entry.attempt_id for entry in group.entries}
             if value.attempt_id in ours:
-                group.write_id = value.write_id
+                self._unsettled = dataclasses.replace(
+                    group, write_id=value.write_id
+                )
         super()._take_row(event, now)
 
 
--- a/tests/test_house_style.py
+++ b/tests/test_house_style.py
@@ -11,6 +11,18 @@
 
 # Data classes that are not frozen, each with the reason.
 _MUTABLE = {
+    "tanagerspoke/coordination/claims.py:_Claim": (
+        "a claim on its way, which its protocol alone owns and changes"
+    ),
+    "tanagerspoke/coordination/claims.py:_Record": (
+        "a record on its way, which its protocol alone owns and changes"
+    ),
+    "tanagerspoke/coordination/limits.py:_Usage": (
+        "counters that change with each call of a client account"
+    ),
+    "tanagerspoke/coordination/scheduling.py:_CallState": (
+        "a call on its way, which its scheduler alone owns and changes"
+    ),
     "tanagerspoke/transport/dispatcher.py:_Running": (
         "attempts of one call, which its dispatcher alone owns and changes"
     ),
--- a/tests/transport/test_claim_service.py
+++ b/tests/transport/test_claim_service.py
@@ -9,7 +9,7 @@
 from tanagerspoke import exceptions
 from tanagerspoke.protocol import agent
 from tanagerspoke.settings import options
-from tanagerspoke.standins import platform as standin
+from tanagerspoke.standins import table as standin
 from tanagerspoke.transport import claim_service
 
 
@@ -33,7 +33,7 @@
         return reply
 
     async def get(self, key):
-        return self.table.get(key, now=time.monotonic())
+        return self.table.get(key, at=time.monotonic())
 
     async def put_object(self, *, key, data):
         if self.objects_down:
