--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module is a program."""
--- a/tests/stack.py
+++ b/tests/stack.py
@@ -77,6 +77,12 @@
         with self.log_path.open("ab") as log:
             self._popen = subprocess.Popen(self._argv, stdout=log, stderr=log)
 
+    @property
+    def pid(self) -> int:
+        """Process id of the last start."""
+        assert self._popen is not None
+        return self._popen.pid
+
     def send(self, signum: signal.Signals) -> None:
         """Sends a signal, for example SIGSTOP."""
         assert self._popen is not None
--- a/tests/tcp_link.py
+++ b/tests/tcp_link.py
@@ -19,9 +19,13 @@
     A stalled link accepts connections and forwards nothing, as when packets
     are lost; what was sent meanwhile arrives after `restore`. A cut link
     resets its connections and every new one.
+
+    Attributes:
+        forwarded_bytes: payload bytes, both directions together.
     """
 
     def __init__(self, *, target_port: int) -> None:
+        self.forwarded_bytes = 0
         self._target_port = target_port
         self._state = State.OPEN
         self._flowing = asyncio.Event()
@@ -38,8 +42,8 @@
         assert self._server is not None
         self._server.close()
         self.cut()
-        for task in list(self._tasks):
-            task.cancel()
+        self._flowing.set()
+        # Cancelled connection tasks would be logged by asyncio's streams.
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     @property
@@ -99,6 +103,7 @@
         try:
             while data := await reader.read(65_536):
                 await self._flowing.wait()
+                self.forwarded_bytes += len(data)
                 writer.write(data)
                 await writer.drain()
             writer.write_eof()
--- a/tests/test_tcp_link.py
+++ b/tests/test_tcp_link.py
@@ -29,6 +29,7 @@
             await asyncio.wait_for(reader.readexactly(1), 0.1)
         link.restore()
         assert await reader.readexactly(1) == b"b"
+        assert link.forwarded_bytes == 4
         link.cut()
         with pytest.raises((asyncio.IncompleteReadError, OSError)):
             await reader.readexactly(1)
