Count work of callers that left in the reported load

Cause: a running write whose caller left held its slot but was missing in the load that the upstream's stand-in reported, as no real worker would.

Change: the report includes it; a test covers the planned stop as well.

--- a/tanagerspoke/standins/upstream.py
+++ b/tanagerspoke/standins/upstream.py
@@ -111,7 +111,7 @@
     def _report(self, phase: upstreams.UpstreamPhase) -> str:
         in_flight = self._faults.reported_in_flight
         if in_flight is None:
-            in_flight = self._in_flight
+            in_flight = self._in_flight + self._workers.abandoned
         return headers.format_load(
             upstreams.LoadReport(
                 in_flight=in_flight, slots=self._cfg.slots, phase=phase
--- a/tanagerspoke/standins/work.py
+++ b/tanagerspoke/standins/work.py
@@ -26,6 +26,7 @@
         self._queue_length = queue_length
         self._waiting = 0
         self._running: set[asyncio.Task[None]] = set()
+        self._abandoned: set[asyncio.Task[None]] = set()
         self.counts: collections.Counter[str] = collections.Counter()
 
     async def run(
@@ -45,8 +46,15 @@
             await asyncio.shield(task)
         except asyncio.CancelledError:
             self.counts["cancelled_running"] += 1
+            if not task.done():
+                self._abandoned.add(task)
             raise
 
+    @property
+    def abandoned(self) -> int:
+        """Number of running jobs whose caller left."""
+        return len(self._abandoned)
+
     async def close(self) -> None:
         """Cancels the work that runs."""
         tasks = list(self._running)
@@ -88,6 +96,7 @@
 
     def _note_end(self, task: asyncio.Task[None]) -> None:
         self._running.discard(task)
+        self._abandoned.discard(task)
         if not task.cancelled():
             # Marks the exception as seen; the caller may have left.
             task.exception()
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -86,7 +86,7 @@
 
 async def test_cancellation_ends_only_waiting_work() -> None:
     """Guards against running work nobody waits for, or undoing a write."""
-    async with running.run_upstream(slots=1, write_ms=300.0) as session:
+    async with running.run_upstream(slots=1, write_ms=1000.0) as session:
 
         async def post(key: str) -> None:
             headers = {"Idempotency-Key": key}
@@ -100,6 +100,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        # The running write still holds its slot.
+        await _wait_load(session, 1)
         await _wait_load(session, 0)
         await post("after")
         runs = await running.get_json(session, "/control/runs")
@@ -231,3 +233,28 @@
                 assert next(iter(fault)) in (await resp.json())["error"]
         bad = {"Tanagerspoke-Deadline-Ms": "soon"}
         assert (await _get(session, **bad))[0] == 400
+
+
+async def test_planned_stop_lists_leaving_and_cuts_off_nothing() -> None:
+    """Guards against a stop that ends a pull, or that nobody learns of."""
+    async with running.run_platform() as platform:
+        async with platform.get("/hosts") as resp:
+            port = resp.url.port or 0
+        async with running.run_upstream(
+            platform=options.Endpoint(address="127.0.0.1", port=port),
+            pull_ms=1000.0,
+            drain_s=60.0,
+        ) as session:
+            caller = aiohttp.ClientSession(await _origin(session))
+            task = asyncio.create_task(_get(caller, "/pull"))
+            await _wait_load(session, 1)
+
+            async def listed() -> bool:
+                return bool(await running.get_json(platform, "/control/hosts"))
+
+            await stack.wait_until(listed, "the registration")
+        [host] = await running.get_json(platform, "/control/hosts")
+        assert host["state"] == "leaving"
+        status, _, body = await task
+        assert (status, len(body)) == (200, 40 * 4096)
+        await caller.close()
