--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks of tanagerspoke."""
+"""Benchmarks; each module runs as `python -m bench.<name>`."""
