Accept either invariant as proof of a broken claim variant

Cause: test_finds_the_fault_of_a_broken_variant[ReadIsProof] failed in full runs only. Hypothesis draws constants from imported modules, so the whole suite generates other examples, and the variant broke 'ran twice' before 'is stuck'. Change: the three variants that can break both invariants may fail on either. The test still demands that the machine finds the fault.

--- a/tests/coordination/test_claims_machine.py
+++ b/tests/coordination/test_claims_machine.py
@@ -483,9 +483,11 @@
 @pytest.mark.parametrize(
     ("broken", "message"),
     [
-        (DeletingRelease, "is stuck"),
-        (NoReadBack, "is stuck"),
-        (ReadIsProof, "is stuck"),
+        # Which invariant fails first depends on the generated examples, and
+        # hypothesis draws constants from the modules that are imported.
+        (DeletingRelease, "is stuck|ran twice"),
+        (NoReadBack, "is stuck|ran twice"),
+        (ReadIsProof, "is stuck|ran twice"),
         (ExpiredClaimIsFree, "ran twice"),
     ],
 )
