--- a/tanagerspoke/coordination/scheduling.py
+++ b/tanagerspoke/coordination/scheduling.py
@@ -249,7 +249,9 @@
             if self._own_pulls >= self._pull_cap():
                 max_busy = self._pull_slot_share
         tried = state.tried
-        if tried and len(tried) >= len(self._view.open):
+        # A retry may return to an upstream when there is no other; a hedge
+        # there would share its fate.
+        if not need_free_slot and len(tried) >= len(self._view.open):
             tried = ()
         total = self._view.total_slots
         entitled = not self._on.queue or self._own < max(
@@ -613,7 +615,7 @@
         call = state.call
         (attempt,) = state.attempts.values()
         self._learn_slow(call, attempt.record, now - attempt.started_at, now)
-        if state.attempt_count >= _MAX_ATTEMPTS:
+        if state.attempt_count >= _MAX_ATTEMPTS or now >= call.deadline:
             return
         record = None
         # Waiting short calls mean saturation. Waiting pulls do not: they
--- /dev/null
+++ b/tests/coordination/helpers.py
@@ -0,0 +1,100 @@
+"""Builders shared by the tests of the decisions."""
+
+import random
+
+from tanagerspoke.coordination import scheduling
+from tanagerspoke.protocol import calls
+from tanagerspoke.protocol import upstreams
+
+LOOKUP = calls.CallClass.LOOKUP
+WRITE = calls.CallClass.WRITE
+PULL = calls.CallClass.PULL
+
+
+def make_upstreams(
+    count: int, *, slots: int = 3
+) -> tuple[upstreams.Upstream, ...]:
+    return tuple(
+        upstreams.Upstream(
+            upstream_id=f"u{i}",
+            service="s",
+            address="127.0.0.1",
+            port=1,
+            availability_zone="abc"[i % 3],
+            slots=slots,
+        )
+        for i in range(count)
+    )
+
+
+def make_scheduler(
+    count: int = 3, *, slots: int = 3, seed: int = 1, **options: object
+) -> scheduling.ServiceScheduler:
+    scheduler = scheduling.ServiceScheduler(
+        availability_zone="a",
+        pull_slot_share=0.5,
+        rng=random.Random(seed),
+        **options,
+    )
+    listed = make_upstreams(count, slots=slots)
+    scheduler.handle(event=calls.UpstreamsChanged(upstreams=listed), now=0.0)
+    return scheduler
+
+
+def make_call(
+    call_id: int,
+    call_class: calls.CallClass = LOOKUP,
+    *,
+    now: float = 0.0,
+    deadline_s: float = 1.0,
+    account: str = "a",
+    retry: bool = True,
+) -> calls.Call:
+    return calls.Call(
+        call_id=call_id,
+        client_account=account,
+        call_class=call_class,
+        idempotent=call_class is not WRITE,
+        arrived_at=now,
+        deadline=now + deadline_s,
+        hedge=call_class is LOOKUP,
+        retry=retry,
+    )
+
+
+def arrive(
+    scheduler: scheduling.ServiceScheduler, call: calls.Call, now: float
+) -> list[calls.SchedulerAction]:
+    return scheduler.handle(event=calls.Arrive(call=call), now=now)
+
+
+def end(
+    scheduler: scheduling.ServiceScheduler,
+    dispatch: calls.Dispatch,
+    now: float,
+    result: calls.AttemptResult | None = None,
+    load: upstreams.LoadReport | None = None,
+) -> list[calls.SchedulerAction]:
+    return scheduler.handle(
+        event=calls.AttemptEnded(
+            call_id=dispatch.call_id,
+            attempt=dispatch.attempt,
+            upstream_id=dispatch.upstream_id,
+            result=result or calls.Answered(status=200),
+            load=load,
+        ),
+        now=now,
+    )
+
+
+def warm_up(
+    scheduler: scheduling.ServiceScheduler, *, calls_count: int = 40
+) -> float:
+    """Answers lookups of 10 ms one after the other; returns the time."""
+    now = 0.0
+    for number in range(calls_count):
+        call = make_call(100_000 + number, now=now)
+        (dispatch,) = arrive(scheduler, call, now)
+        now += 0.01
+        end(scheduler, dispatch, now)
+    return now
