Compare a single upstream with nothing

Cause: an upstream over twice the mean duration gets one call at a time; the only upstream of a service was limited so after a few long calls. Change: the rule needs a second upstream. Result: the new test fails without the change and passes with it; 25 tests pass (make test).

--- a/tanagerspoke/coordination/balancing.py
+++ b/tanagerspoke/coordination/balancing.py
@@ -74,7 +74,10 @@
         rng_random = self._rng.random
         mean_others = self._view.mean_others
         trust = self._view.report_trust
-        for record in self._candidates():
+        candidates = self._candidates()
+        # A single upstream can only be compared with its own past.
+        slow_ratio = _SLOW_RATIO if len(candidates) > 1 else float("inf")
+        for record in candidates:
             if _closed(record, now, tried):
                 continue
             slots = record.slots
@@ -91,7 +94,7 @@
             if max_busy is not None and busy + 1.0 / slots > max_busy:
                 continue
             slowness = record.current_slowness(now)
-            if slowness > _SLOW_RATIO and record.own:
+            if slowness > slow_ratio and record.own:
                 continue
             score = slowness * (1.0 + _CROWDING_WEIGHT * busy * busy)
             if not free:
--- a/tests/coordination/test_scheduling.py
+++ b/tests/coordination/test_scheduling.py
@@ -118,3 +118,17 @@
     assert len(sent) == 4
     (dispatch,) = helpers.arrive(scheduler, helpers.make_call(9), 0.0)
     assert dispatch.call_id == 9
+
+
+def test_single_upstream_keeps_its_slots_after_stragglers():
+    """Guards against one call at a time when there is no other upstream."""
+    scheduler = helpers.make_scheduler(1)
+    now = helpers.warm_up(scheduler)
+    for call_id in range(5):
+        call = helpers.make_call(call_id, helpers.WRITE, now=now)
+        (dispatch,) = helpers.arrive(scheduler, call, now)
+        now += 0.01 if call_id < 1 else 0.5
+        helpers.end(scheduler, dispatch, now)
+    calls_now = [helpers.make_call(n, now=now) for n in (10, 11, 12)]
+    sent = [a for c in calls_now for a in helpers.arrive(scheduler, c, now)]
+    assert len(sent) == 3
