Test the retry budget when every upstream refuses

Cause: a trial with the budget check removed passed the state machine test, whose runs are too short to spend the budget. Change: a focused test, which fails without the check.

--- a/tests/coordination/test_scheduling.py
+++ b/tests/coordination/test_scheduling.py
@@ -132,3 +132,17 @@
     calls_now = [helpers.make_call(n, now=now) for n in (10, 11, 12)]
     sent = [a for c in calls_now for a in helpers.arrive(scheduler, c, now)]
     assert len(sent) == 3
+
+
+def test_retries_stay_within_their_budget():
+    """Guards against a retry storm when every upstream refuses."""
+    scheduler = helpers.make_scheduler(6)
+    retries = 0
+    for call_id in range(100):
+        now = call_id * 0.01
+        call = helpers.make_call(call_id, now=now)
+        actions = helpers.arrive(scheduler, call, now)
+        while actions and isinstance(actions[0], calls.Dispatch):
+            retries += actions[0].attempt > 1
+            actions = helpers.end(scheduler, actions[0], now, calls.NotSent())
+    assert 1 <= retries <= 5 + 0.01 * 100
