--- /dev/null
+++ b/tests/coordination/test_replies.py
@@ -0,0 +1,103 @@
+"""The watch of late replies against a simple oracle."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tanagerspoke.coordination import replies
+
+_LIMIT = 3
+_WATCH_S = 10.0
+
+
+class ReplyWatchMachine(stateful.RuleBasedStateMachine):
+    """Guards against replies reported never or twice, and unbounded watches.
+
+    The oracle is a dictionary from watched exchange to its expiry.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.watch = replies.ReplyWatch(limit=_LIMIT, watch_s=_WATCH_S)
+        self.now = 0.0
+        self.next_id = 0
+        self.watched: dict[int, float] = {}
+        self.reported: set[int] = set()
+
+    def _expected(self) -> replies.Expected:
+        self.next_id += 1
+        return replies.Expected(
+            exchange_id=self.next_id,
+            client_account="oulu-shop",
+            service="map-viewing",
+            upstream_id="u1",
+            deadline=self.now,
+        )
+
+    def _handle(self, event: replies.Event) -> list[replies.Action]:
+        actions = self.watch.handle(event=event, now=self.now)
+        for action in actions:
+            if isinstance(action, replies.ReportLate | replies.ReportLost):
+                exchange_id = action.expected.exchange_id
+                assert exchange_id not in self.reported
+                self.reported.add(exchange_id)
+        return actions
+
+    @stateful.rule()
+    def time_out(self) -> None:
+        expected = self._expected()
+        exchange_id = expected.exchange_id
+        actions = self._handle(replies.ExchangeTimedOut(expected=expected))
+        if len(self.watched) < _LIMIT:
+            self.watched[exchange_id] = self.now + _WATCH_S
+            assert actions == [replies.KeepReading(exchange_id=exchange_id)]
+        else:
+            assert exchange_id in self.reported
+            assert replies.CloseConnection(exchange_id=exchange_id) in actions
+
+    @stateful.rule()
+    def break_in_time(self) -> None:
+        expected = self._expected()
+        self._handle(replies.ExchangeBroke(expected=expected))
+        assert expected.exchange_id in self.reported
+
+    @stateful.rule(data=st.data(), whole=st.booleans())
+    def end_watch(self, data: st.DataObject, whole: bool) -> None:
+        exchange_id = data.draw(st.integers(0, self.next_id + 1))
+        event = replies.ReplyArrived if whole else replies.WatchBroke
+        actions = self._handle(event(exchange_id=exchange_id))
+        if self.watched.pop(exchange_id, None) is None:
+            assert actions == []
+            return
+        report, close = actions
+        assert isinstance(report, replies.ReportLate) == whole
+        if whole:
+            assert report.lateness_s == self.now - report.expected.deadline
+        assert close == replies.CloseConnection(exchange_id=exchange_id)
+
+    @stateful.rule(step=st.floats(0, 6))
+    def pass_time(self, step: float) -> None:
+        self.now += step
+        actions = self._handle(replies.Tick())
+        gone = {i for i, end in self.watched.items() if end <= self.now}
+        for exchange_id in gone:
+            del self.watched[exchange_id]
+        assert {
+            a.exchange_id
+            for a in actions
+            if isinstance(a, replies.CloseConnection)
+        } == gone
+
+    @stateful.invariant()
+    def every_exchange_is_watched_or_reported(self) -> None:
+        known = set(self.watched) | self.reported
+        assert known == set(range(1, self.next_id + 1))
+        assert self.watch.next_wakeup == min(
+            self.watched.values(), default=None
+        )
+
+
+ReplyWatchMachine.TestCase.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=30
+)
+TestReplyWatch = ReplyWatchMachine.TestCase
