Complete the gateway's transport

Cause: the thin version sent calls through aiohttp's client session in a task each, held every answer whole, took a body without a length for whole, named text errors for malformed requests, gave hop-by-hop headers on, and stopped without waiting for running calls.

Change: upstream connections are asyncio protocols over aiohttp's response parser with a bounded keep-alive pool per upstream; an exchange ends exactly once and only a clean connection is reused. Answers over hold_answer_bytes are streamed with backpressure, and a break resets the caller's connection. Errors of the HTTP parser and unexpected errors are JSON. The planned stop waits for calls; a second signal or stop_deadline_s cuts and logs them. Metrics have bound children. Events of the scheduler that an action causes are handled after the actions of the event before. New error code internal_error (500, not run) for an unexpected error before anything was dispatched.

Measured: python -m pytest: all pass.

--- a/tanagerspoke/commands/program.py
+++ b/tanagerspoke/commands/program.py
@@ -5,7 +5,7 @@
 import pathlib
 import signal
 import sys
-from typing import Any, Protocol, TypeVar
+from typing import Any, Protocol, runtime_checkable, TypeVar
 
 import uvloop
 
@@ -29,6 +29,14 @@
         """Stops tasks and closes sockets."""
 
 
+@runtime_checkable
+class Hurried(Protocol):
+    """A service whose stop may take long and can be cut short."""
+
+    def hurry(self) -> None:
+        """Ends the wait for what still runs."""
+
+
 def load_settings(*, path: pathlib.Path, option_type: type[T]) -> T:
     """Returns checked settings; prints every error and exits with 2."""
     try:
@@ -39,7 +47,10 @@
 
 
 def serve(*, name: str, log_level: str, service: Callable[[], Running]) -> None:
-    """Runs a service until SIGTERM or SIGINT."""
+    """Runs a service until SIGTERM or SIGINT.
+
+    A second signal shortens the stop of a service that has `hurry`.
+    """
     logs.configure(program=name, level=log_level)
     uvloop.run(_serve(service))
 
@@ -47,9 +58,15 @@
 async def _serve(make: Callable[[], Running]) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stop.set)
     service = make()
+
+    def on_signal() -> None:
+        if stop.is_set() and isinstance(service, Hurried):
+            service.hurry()
+        stop.set()
+
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, on_signal)
     await service.start()
     try:
         await stop.wait()
--- a/tanagerspoke/protocol/errors.py
+++ b/tanagerspoke/protocol/errors.py
@@ -48,6 +48,7 @@
     CROSSED_REPLY = "crossed_reply"
     UPSTREAM_TIMEOUT = "upstream_timeout"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    INTERNAL_ERROR = "internal_error"
 
 
 _STATUS = {
@@ -75,6 +76,7 @@
     ErrorCode.CROSSED_REPLY: http.HTTPStatus.BAD_GATEWAY,
     ErrorCode.UPSTREAM_TIMEOUT: http.HTTPStatus.GATEWAY_TIMEOUT,
     ErrorCode.OUTCOME_UNKNOWN: http.HTTPStatus.GATEWAY_TIMEOUT,
+    ErrorCode.INTERNAL_ERROR: http.HTTPStatus.INTERNAL_SERVER_ERROR,
 }
 
 _OUTCOME = {
--- a/tanagerspoke/transport/dispatcher.py
+++ b/tanagerspoke/transport/dispatcher.py
@@ -1,6 +1,7 @@
 """Runs the calls of one service as its scheduler decides."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import dataclasses
 
@@ -22,7 +23,7 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Running:
-    """A call that has not been answered yet."""
+    """A call that is not answered, or whose attempts have not all ended."""
 
     call: calls.Call
     request: upstream_client.UpstreamRequest
@@ -31,6 +32,14 @@
     answers: dict[int, upstream_client.Answer]
 
 
+def _ignore(upstream_id: str) -> None:
+    del upstream_id
+
+
+def _ignore_dispatch(action: calls.Dispatch) -> None:
+    del action
+
+
 class ServiceDispatcher:
     """Owns the scheduler and the running calls of one service."""
 
@@ -41,19 +50,28 @@
         client: upstream_client.UpstreamClient,
         clock: Callable[[], float],
         on_draining: Callable[[str], None],
+        on_report: Callable[[str], None] = _ignore,
+        on_dispatch: Callable[[calls.Dispatch], None] = _ignore_dispatch,
     ) -> None:
         self._scheduler = scheduler
         self._client = client
         self._clock = clock
         self._on_draining = on_draining
+        self._on_report = on_report
+        self._on_dispatch = on_dispatch
         self._upstreams: dict[str, upstreams.Upstream] = {}
         self._running: dict[int, _Running] = {}
+        self._events: collections.deque[calls.SchedulerEvent] = (
+            collections.deque()
+        )
+        self._handling = False
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at: float | None = None
 
     async def run(
         self, *, call: calls.Call, request: upstream_client.UpstreamRequest
     ) -> upstream_client.Answer:
-        """Returns the whole answer of an upstream.
+        """Returns the whole answer of an upstream, or one that is streamed.
 
         Raises:
             CallRefusedError: the call is proven not run.
@@ -71,10 +89,22 @@
         try:
             return await running.fut
         except asyncio.CancelledError:
-            self.handle(calls.CallerLeft(call_id=call.call_id))
+            self._leave(running)
             raise
         finally:
-            self._running.pop(call.call_id, None)
+            self._forget_if_ended(running)
+
+    @property
+    def in_flight(self) -> int:
+        """Number of running attempts."""
+        return sum(len(r.exchanges) for r in self._running.values())
+
+    def queued(self, call_class: calls.CallClass) -> int:
+        """Returns the number of calls of a class that wait for a slot."""
+        return sum(
+            not r.exchanges and r.call.call_class is call_class
+            for r in self._running.values()
+        )
 
     def set_upstreams(self, changed: tuple[upstreams.Upstream, ...]) -> None:
         """Takes the whole list of the service's upstreams."""
@@ -82,17 +112,46 @@
         self.handle(calls.UpstreamsChanged(upstreams=changed))
 
     def handle(self, event: calls.SchedulerEvent) -> None:
-        """Gives an event to the scheduler and carries out its actions."""
-        now = self._clock()
-        for action in self._scheduler.handle(event=event, now=now):
-            self._carry_out(action, now)
-        self._arm_timer(now)
+        """Gives an event to the scheduler and carries out its actions.
+
+        An event that an action causes is handled after all actions of the
+        event before it, so that the scheduler's order is kept.
+        """
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                now = self._clock()
+                for action in self._scheduler.handle(
+                    event=self._events.popleft(), now=now
+                ):
+                    self._carry_out(action, now)
+        finally:
+            self._handling = False
+        self._arm_timer()
 
     def close(self) -> None:
-        """Stops the timer."""
+        """Stops the timer and cancels what still runs."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        for running in list(self._running.values()):
+            for exchange in list(running.exchanges.values()):
+                exchange.cancel()
+
+    def _leave(self, running: _Running) -> None:
+        if self._running.get(running.call.call_id) is not running:
+            return
+        self.handle(calls.CallerLeft(call_id=running.call.call_id))
+        # Whatever the scheduler cancelled itself has ended by now.
+        for exchange in list(running.exchanges.values()):
+            exchange.cancel()
+
+    def _forget_if_ended(self, running: _Running) -> None:
+        if running.fut.done() and not running.exchanges:
+            self._running.pop(running.call.call_id, None)
 
     def _carry_out(self, action: calls.SchedulerAction, now: float) -> None:
         running = self._running.get(action.call_id)
@@ -102,9 +161,11 @@
             case calls.Dispatch():
                 self._dispatch(running, action, now)
             case calls.CancelAttempt(attempt=attempt):
-                running.exchanges[attempt].cancel()
+                exchange = running.exchanges.get(attempt)
+                if exchange is not None:
+                    exchange.cancel()
             case calls.Settle(attempt=attempt):
-                _resolve(running.fut, running.answers[attempt])
+                _resolve(running.fut, running.answers.pop(attempt))
             case calls.Refuse(code=code, retry_after_s=retry_after_s):
                 _reject(
                     running.fut,
@@ -120,48 +181,90 @@
     def _dispatch(
         self, running: _Running, action: calls.Dispatch, now: float
     ) -> None:
-        upstream = self._upstreams[action.upstream_id]
-
-        def on_ended(ended: upstream_client.Ended) -> None:
-            if ended.answer is not None:
-                running.answers[action.attempt] = ended.answer
-            self._note_phase(action.upstream_id, ended.load)
-            self.handle(
-                calls.AttemptEnded(
-                    call_id=action.call_id,
-                    attempt=action.attempt,
-                    upstream_id=action.upstream_id,
-                    result=ended.result,
-                    load=ended.load,
-                )
+        upstream = self._upstreams.get(action.upstream_id)
+        # The process may have been paused since the call arrived; an expired
+        # call must not run late.
+        if upstream is None or running.call.deadline <= now:
+            self._end(
+                running,
+                action,
+                upstream_client.Ended(result=calls.NotSent()),
             )
-
+            return
+        self._on_dispatch(action)
         running.exchanges[action.attempt] = self._client.send(
             upstream=upstream,
             request=running.request,
             attempt=action.attempt,
-            timeout_s=max(0.0, running.call.deadline - now),
-            on_ended=on_ended,
+            timeout_s=running.call.deadline - now,
+            on_ended=lambda ended: self._end(running, action, ended),
+            on_started=lambda answer: self._start(running, action, answer),
+        )
+
+    def _start(
+        self,
+        running: _Running,
+        action: calls.Dispatch,
+        answer: upstream_client.Answer,
+    ) -> None:
+        if running.fut.done():
+            running.exchanges[action.attempt].cancel()
+            return
+        assert answer.stream is not None
+        answer.stream.on_abandoned = lambda: self._leave(running)
+        _resolve(running.fut, answer)
+        self.handle(
+            calls.AnswerStarted(call_id=action.call_id, attempt=action.attempt)
+        )
+
+    def _end(
+        self,
+        running: _Running,
+        action: calls.Dispatch,
+        ended: upstream_client.Ended,
+    ) -> None:
+        running.exchanges.pop(action.attempt, None)
+        if ended.answer is not None:
+            running.answers[action.attempt] = ended.answer
+        self._note_load(action.upstream_id, ended.load)
+        self.handle(
+            calls.AttemptEnded(
+                call_id=action.call_id,
+                attempt=action.attempt,
+                upstream_id=action.upstream_id,
+                result=ended.result,
+                load=ended.load,
+            )
         )
+        self._forget_if_ended(running)
 
-    def _note_phase(
+    def _note_load(
         self, upstream_id: str, load: upstreams.LoadReport | None
     ) -> None:
         if load is None:
             return
+        self._on_report(upstream_id)
         if load.phase is upstreams.UpstreamPhase.DRAINING:
             self._on_draining(upstream_id)
 
-    def _arm_timer(self, now: float) -> None:
+    def _arm_timer(self) -> None:
+        wakeup = self._scheduler.next_wakeup
+        if wakeup == self._timer_at:
+            return
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        wakeup = self._scheduler.next_wakeup
+        self._timer_at = wakeup
         if wakeup is not None:
             self._timer = asyncio.get_running_loop().call_later(
-                max(0.0, wakeup - now), self.handle, calls.Tick()
+                max(0.0, wakeup - self._clock()), self._tick
             )
 
+    def _tick(self) -> None:
+        self._timer = None
+        self._timer_at = None
+        self.handle(calls.Tick())
+
 
 def _resolve(
     fut: asyncio.Future[upstream_client.Answer],
--- a/tanagerspoke/transport/gateway_service.py
+++ b/tanagerspoke/transport/gateway_service.py
@@ -1,9 +1,9 @@
 """The gateway: joins caller server, schedulers and agent client."""
 
 import collections
+import functools
 import hashlib
 import hmac
-import itertools
 import logging
 import random
 import time
@@ -12,6 +12,7 @@
 import prometheus_client
 
 from tanagerspoke import exceptions
+from tanagerspoke.coordination import lifecycle
 from tanagerspoke.coordination import scheduling
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import calls
@@ -26,10 +27,15 @@
 from tanagerspoke.transport import dispatcher
 from tanagerspoke.transport import grpc_agent
 from tanagerspoke.transport import keyed_writes
+from tanagerspoke.transport import metrics
+from tanagerspoke.transport import planned_stop
 from tanagerspoke.transport import upstream_client
 
 log = logging.getLogger(__name__)
 
+# Longest wait at the end of a stop for callers that read slowly.
+_FLUSH_S = 10.0
+
 
 class GatewayService(mode.Service):
     """One gateway process."""
@@ -40,9 +46,16 @@
         self._snapshot = config.EMPTY
         self._dispatchers: dict[str, dispatcher.ServiceDispatcher] = {}
         self._upstreams: dict[str, tuple[upstreams.Upstream, ...]] = {}
-        self._call_ids = itertools.count(1)
+        self._service_of: dict[str, str] = {}
+        self._gateways = 1
         self._rng = random.Random()
-        self._client = upstream_client.UpstreamClient()
+        self._registry = prometheus_client.CollectorRegistry()
+        self._metrics = metrics.GatewayMetrics(registry=self._registry)
+        self._client = upstream_client.UpstreamClient(
+            late_replies_watched=cfg.late_replies_watched,
+            on_late=self._metrics.count_late,
+            on_lost=self._metrics.count_lost,
+        )
         self._agent = grpc_agent.AgentClient(
             endpoint=cfg.agent, shared_key=cfg.shared_key
         )
@@ -52,12 +65,24 @@
             on_update=self._take,
         )
         self._keyed_writes = keyed_writes.KeyedWrites(agent_client=self._agent)
-        self._server = caller_server.CallerServer(cfg=cfg, serve=self.serve)
-        self._registry = prometheus_client.CollectorRegistry()
+        self._server = caller_server.CallerServer(
+            cfg=cfg,
+            serve=self.serve,
+            on_started=self._start_call,
+            on_ended=self._end_call,
+            is_stopping=lambda: not self._planned_stop.is_ready,
+        )
+        self._planned_stop = planned_stop.PlannedStop(
+            lame_duck_s=cfg.lame_duck_s,
+            stop_deadline_s=cfg.stop_deadline_s,
+            close_listeners=self._server.close_listeners,
+        )
         self._admin = admin_server.AdminServer(
             listen=cfg.admin,
             registry=self._registry,
-            is_ready=lambda: self._snapshot.revision > 0,
+            is_ready=lambda: (
+                self._snapshot.revision > 0 and self._planned_stop.is_ready
+            ),
         )
 
     async def on_start(self) -> None:
@@ -73,9 +98,29 @@
         )
 
     async def close(self) -> None:
-        """Stops the tasks and closes the ports."""
+        """Waits for the running calls, then closes what is open."""
+        await self._planned_stop.run()
+        if not self._planned_stop.cut:
+            await self._server.flush(timeout_s=_FLUSH_S)
         await self.stop()
 
+    def hurry(self) -> None:
+        """Ends the wait of `close`; running calls are cut and logged."""
+        self._planned_stop.request()
+
+    def _start_call(self, record: caller_server.CallRecord) -> None:
+        self._planned_stop.call_started(
+            lifecycle.RunningCall(
+                call_id=record.call_id,
+                client_account=record.client_account,
+                service=record.service,
+            )
+        )
+
+    def _end_call(self, record: caller_server.CallRecord) -> None:
+        self._metrics.count_call(record)
+        self._planned_stop.call_ended(record.call_id)
+
     async def on_stop(self) -> None:
         """Closes the ports."""
         await self._server.close()
@@ -93,6 +138,7 @@
                     snapshot=self._snapshot, update=update
                 )
                 self._link.note_revision(self._snapshot.revision)
+                self._metrics.config_revision.set(self._snapshot.revision)
                 log.info(
                     "config_in_force",
                     extra={"revision": self._snapshot.revision},
@@ -105,6 +151,21 @@
                         service.handle(
                             calls.DrainMarked(upstream_id=upstream_id)
                         )
+            case agent.LoadUpdate(reports=reports):
+                for report in reports:
+                    self._take_load(report)
+            case agent.FleetUpdate(gateways=gateways):
+                self._gateways = max(1, gateways)
+
+    def _take_load(self, report: agent.ProbedLoad) -> None:
+        name = self._service_of.get(report.upstream_id)
+        service = self._dispatchers.get(name) if name is not None else None
+        if service is not None:
+            service.handle(
+                calls.LoadReported(
+                    upstream_id=report.upstream_id, load=report.load
+                )
+            )
 
     def _take_upstreams(self, listed: tuple[upstreams.Upstream, ...]) -> None:
         by_service: dict[str, list[upstreams.Upstream]] = (
@@ -115,6 +176,7 @@
         self._upstreams = {
             name: tuple(members) for name, members in by_service.items()
         }
+        self._service_of = {u.upstream_id: u.service for u in listed}
         for name, service in self._dispatchers.items():
             service.set_upstreams(self._upstreams.get(name, ()))
 
@@ -132,6 +194,15 @@
             client=self._client,
             clock=time.monotonic,
             on_draining=self._link.note_draining,
+            on_report=self._link.note_report,
+            on_dispatch=functools.partial(
+                self._metrics.count_dispatch, service
+            ),
+        )
+        self._metrics.watch_service(
+            service=service,
+            in_flight=lambda: created.in_flight,
+            queued=created.queued,
         )
         created.set_upstreams(self._upstreams.get(service, ()))
         self._dispatchers[service] = created
@@ -146,22 +217,35 @@
             CallRefusedError: the call is proven not run.
             CallFailedError: the outcome of the call is unknown.
         """
-        account, _, route = self._snapshot.route(
+        record = request.record
+        assert record is not None
+        if self._planned_stop.is_stopped:
+            raise exceptions.CallRefusedError(
+                code=errors.ErrorCode.STOPPING,
+                message="this gateway is stopping",
+                retry_after_s=1.0,
+            )
+        account, found, route = self._snapshot.route(
             client_account=request.client_account,
             service=request.service,
             method=request.method,
             path=request.path,
         )
         _check_token(account, request.token)
-        now = time.monotonic()
-        deadline_s = min(request.deadline_s or route.deadline_s, 600.0)
+        record.route = route
+        # The caller's deadline only ever shortens the route's.
+        deadline_s = route.deadline_s
+        if request.deadline_s is not None:
+            deadline_s = min(deadline_s, request.deadline_s)
+        record.deadline = record.started_at + deadline_s
+        self._check_limits(account, request.service, found.limits)
         call = calls.Call(
-            call_id=next(self._call_ids),
+            call_id=record.call_id,
             client_account=account.name,
             call_class=route.call_class,
             idempotent=route.idempotent,
-            arrived_at=now,
-            deadline=now + deadline_s,
+            arrived_at=record.started_at,
+            deadline=record.deadline,
             hedge=route.hedge,
         )
         if route.key_rule is declarations.KeyRule.NONE:
@@ -170,20 +254,42 @@
             call=call, request=request, route=route, dispatch=self._run
         )
 
+    def _check_limits(
+        self, account: config.Account, service: str, limits: config.Limits
+    ) -> None:
+        """Call site of the client account limits (coordination/limits.py)."""
+
     async def _run(
         self, call: calls.Call, request: caller_server.CallerRequest
     ) -> caller_server.CallerAnswer:
-        answer = await self._dispatcher(request.service).run(
-            call=call,
-            request=upstream_client.UpstreamRequest(
-                request_id=request.request_id,
-                client_account=request.client_account,
-                method=request.method,
-                path=request.path,
-                headers=request.headers,
-                body=request.body,
-            ),
-        )
+        record = request.record
+        assert record is not None
+        # A write is held whole even where it is long, since its answer is
+        # recorded under its key.
+        may_stream = call.call_class is not calls.CallClass.WRITE
+        hold_bytes = self._cfg.hold_answer_bytes
+        if not may_stream:
+            hold_bytes = max(hold_bytes, self._cfg.max_body_bytes)
+        record.dispatched = True
+        try:
+            answer = await self._dispatcher(request.service).run(
+                call=call,
+                request=upstream_client.UpstreamRequest(
+                    request_id=request.request_id,
+                    client_account=request.client_account,
+                    method=request.method,
+                    path=request.path,
+                    headers=request.headers,
+                    body=request.body,
+                    service=request.service,
+                    depth=request.depth,
+                    hold_bytes=hold_bytes,
+                    may_stream=may_stream,
+                ),
+            )
+        except exceptions.CallRefusedError:
+            record.dispatched = False
+            raise
         return caller_server.CallerAnswer(
             answer=answer, outcome=errors.Outcome.RAN
         )
--- a/tanagerspoke/transport/upstream_client.py
+++ b/tanagerspoke/transport/upstream_client.py
@@ -1,52 +1,99 @@
-"""HTTP client towards upstreams."""
+"""HTTP client towards upstreams, driven by callbacks.
+
+aiohttp's client session costs about 0.7 ms of processor time a call, which is
+more than the whole budget of a call; this client uses only its parser.
+"""
 
 import asyncio
-from collections.abc import Callable
+import collections
+from collections.abc import Callable, Iterable
 import dataclasses
+import itertools
+import logging
+from typing import Any
 
-import aiohttp
-import multidict
-
+from tanagerspoke import exceptions
+from tanagerspoke.coordination import replies
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import headers
 from tanagerspoke.protocol import upstreams
+from tanagerspoke.transport import answer_stream
+from tanagerspoke.transport import upstream_connection
+
+log = logging.getLogger(__name__)
+
+# A new connection takes about 1 ms (design page, 1.5); a host that has not
+# accepted one in this time is gone or overloaded.
+_CONNECT_TIMEOUT_S = 0.5
+_MAX_IDLE_PER_UPSTREAM = 16
+# Shorter than the keep-alive time of common servers, so that a connection is
+# rarely closed by the upstream just when a request is written to it.
+_IDLE_S = 20.0
+_SWEEP_INTERVAL_S = 5.0
+_WATCH_LATE_S = 30.0
 
 _HOP_BY_HOP = frozenset(
-    name.lower()
-    for name in (
-        "Connection",
-        "Keep-Alive",
-        "Proxy-Connection",
-        "Proxy-Authenticate",
-        "TE",
-        "Trailer",
-        "Transfer-Encoding",
-        "Upgrade",
-        "Content-Length",
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
     )
 )
+# `Tanagerspoke-Retry` is passed on: it tells outer layers not to retry.
+_SYSTEM = frozenset(
+    name.lower() for name in headers.RESERVED if name != headers.RETRY
+)
+_DROPPED = _HOP_BY_HOP | _SYSTEM
+
+Headers = tuple[tuple[str, str], ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class UpstreamRequest:
-    """A request as it goes to an upstream."""
+    """A request as it goes to an upstream.
+
+    Attributes:
+        headers: end-to-end headers only.
+        hold_bytes: longest answer that is held whole before it is passed on.
+        may_stream: whether a longer answer is streamed; where it is not,
+            such an answer counts as broken.
+    """
 
     request_id: str
     client_account: str
     method: str
     path: str
-    headers: multidict.CIMultiDict[str]
+    headers: Headers
     body: bytes
+    service: str = ""
+    depth: int = 0
+    hold_bytes: int = 262_144
+    may_stream: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Answer:
-    """A whole answer of an upstream."""
+    """An answer of an upstream.
+
+    Attributes:
+        body: the whole body, empty where the answer is streamed.
+        stream: the body of a streamed answer.
+        content_length: length that the upstream stated, if any.
+    """
 
     status: int
-    headers: tuple[tuple[str, str], ...]
+    headers: Headers
     body: bytes
+    stream: answer_stream.AnswerStream | None = None
+    content_length: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -61,33 +108,274 @@
 class Exchange:
     """One request to one upstream; `on_ended` is called exactly once."""
 
-    def __init__(self, *, task: asyncio.Task[None]) -> None:
-        self._task = task
+    __slots__ = (
+        "_client",
+        "_connecting",
+        "_on_ended",
+        "_on_started",
+        "_parts",
+        "_size",
+        "_stream",
+        "_timer",
+        "attempt",
+        "conn",
+        "deadline",
+        "ended",
+        "exchange_id",
+        "load",
+        "request",
+        "upstream",
+        "watched",
+    )
+
+    def __init__(
+        self,
+        *,
+        client: "UpstreamClient",
+        exchange_id: int,
+        upstream: upstreams.Upstream,
+        request: UpstreamRequest,
+        attempt: int,
+        deadline: float,
+        on_ended: Callable[[Ended], None],
+        on_started: Callable[[Answer], None] | None,
+    ) -> None:
+        self._client = client
+        self.exchange_id = exchange_id
+        self.upstream = upstream
+        self.request = request
+        self.attempt = attempt
+        self.deadline = deadline
+        self.conn: upstream_connection.UpstreamConnection | None = None
+        self.load: upstreams.LoadReport | None = None
+        self.ended = False
+        self.watched = False
+        self._on_ended = on_ended
+        self._on_started = on_started
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._stream: answer_stream.AnswerStream | None = None
+        self._connecting: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
 
     def cancel(self) -> None:
         """Drops the exchange and its connection."""
-        self._task.cancel()
+        self._fail(calls.Cancelled(), "the attempt was cancelled")
+
+    def start(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Takes an idle connection or opens a new one."""
+        self._timer = loop.call_at(self.deadline, self._time_out)
+        conn = self._client.take_idle(self.upstream.upstream_id)
+        if conn is not None:
+            self._send(conn)
+        else:
+            self._connecting = loop.create_task(self._connect())
+
+    async def _connect(self) -> None:
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                conn = await self._client.connect(self.upstream)
+        except (OSError, TimeoutError) as exc:
+            self._connecting = None
+            self._fail(calls.NotSent(), f"cannot connect: {exc}")
+            return
+        self._connecting = None
+        if not conn.is_usable:
+            self._fail(calls.NotSent(), "closed before writing")
+            return
+        self._send(conn)
+
+    def _send(self, conn: upstream_connection.UpstreamConnection) -> None:
+        remaining_s = self.deadline - self._client.now()
+        try:
+            data = _serialize(self, max(1, int(remaining_s * 1000)))
+        except exceptions.UpstreamError as exc:
+            conn.close()
+            # By way of the loop: the caller of `send` has no exchange yet.
+            self._client.call_soon(self._fail, calls.NotSent(), str(exc))
+            return
+        self.conn = conn
+        conn.send(method=self.request.method, data=data, receiver=self)
+
+    def on_data(self, body: bytes) -> None:
+        """Takes body bytes; see `upstream_connection.Receiver`."""
+        conn = self.conn
+        assert conn is not None
+        head = conn.reader.head
+        echoed = head.headers.get(headers.REQUEST_ID)
+        if self.watched:
+            if echoed != self.request.request_id:
+                self._client.note_watch_broke(self)
+            elif conn.reader.done:
+                self._client.note_arrived(self)
+            return
+        if echoed != self.request.request_id:
+            self._fail(calls.Crossed(), "the answer has another request id")
+            return
+        if self._stream is not None:
+            self._stream.feed(body)
+        else:
+            self._hold(body)
+        if conn.reader.done and not self.ended:
+            self._finish()
+
+    def on_broken(self, error: str) -> None:
+        """Notes a break; see `upstream_connection.Receiver`."""
+        if self.watched:
+            self._client.note_watch_broke(self)
+            return
+        self._fail(calls.Broken(), error)
+
+    def _hold(self, body: bytes) -> None:
+        conn = self.conn
+        if body:
+            self._parts.append(body)
+            self._size += len(body)
+        if conn.reader.done and self._size <= self.request.hold_bytes:
+            return
+        stated = _content_length(conn.reader.head)
+        if max(self._size, stated or 0) <= self.request.hold_bytes:
+            return
+        if _is_shed(conn.reader.head):
+            self._fail(calls.Shed(), "the upstream shed the call")
+        elif self._on_started is None or not self.request.may_stream:
+            self._fail(calls.Broken(), "the answer is too long to hold")
+        else:
+            self._start_stream(stated)
+
+    def _start_stream(self, stated: int | None) -> None:
+        conn = self.conn
+        self._stream = answer_stream.AnswerStream(transport=conn.transport)
+        for part in self._parts:
+            self._stream.feed(part)
+        self._parts.clear()
+        head = conn.reader.head
+        self._on_started(
+            Answer(
+                status=head.code,
+                headers=end_to_end_headers(head.headers.items()),
+                body=b"",
+                stream=self._stream,
+                content_length=stated,
+            )
+        )
+
+    def _finish(self) -> None:
+        conn = self.conn
+        head = conn.reader.head
+        load = headers.parse_load(head.headers.get(headers.LOAD))
+        if _is_shed(head):
+            ended = Ended(result=_shed(head), load=load)
+        else:
+            status = head.code
+            ended = Ended(
+                result=calls.Answered(status=status, failed=status >= 500),
+                load=load,
+                answer=Answer(
+                    status=status,
+                    headers=end_to_end_headers(head.headers.items()),
+                    body=b"".join(self._parts),
+                    stream=self._stream,
+                    content_length=_content_length(head),
+                ),
+            )
+        self._client.release(conn)
+        self.conn = None
+        if self._stream is not None:
+            self._stream.finish()
+        self._end(ended)
+
+    def _time_out(self) -> None:
+        if self.conn is None:
+            # The request was never written: not run.
+            self._fail(calls.NotSent(), "the deadline passed while connecting")
+        else:
+            self._fail(calls.TimedOut(), "the deadline passed")
+
+    def _fail(self, result: calls.AttemptResult, error: str) -> None:
+        if self.ended:
+            return
+        if self._connecting is not None:
+            self._connecting.cancel()
+            self._connecting = None
+        conn = self.conn
+        load = None
+        if conn is not None and conn.reader.head is not None:
+            load = headers.parse_load(
+                conn.reader.head.headers.get(headers.LOAD)
+            )
+        if isinstance(result, calls.TimedOut) and self._stream is None:
+            self.watched = True
+            self._parts.clear()
+            self._client.watch(self)
+        elif conn is not None:
+            conn.close()
+            self.conn = None
+            if isinstance(result, calls.Broken):
+                self._client.note_broke(self)
+        if self._stream is not None:
+            self._stream.fail(error)
+        if isinstance(result, calls.Crossed):
+            self._client.note_crossed(self)
+            load = None
+        self._end(Ended(result=result, load=load))
+
+    def _end(self, ended: Ended) -> None:
+        self.ended = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._on_ended(ended)
 
 
 class UpstreamClient:
-    """Keeps connections to upstreams and runs exchanges on them."""
+    """Keeps connections to upstreams and runs exchanges on them.
 
-    def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
+    `on_late` and `on_lost` are called after a late or lost reply was logged.
+    """
+
+    def __init__(
+        self,
+        *,
+        late_replies_watched: int = 64,
+        watch_late_s: float = _WATCH_LATE_S,
+        on_late: Callable[[replies.Expected], None] = lambda expected: None,
+        on_lost: Callable[[replies.Expected], None] = lambda expected: None,
+    ) -> None:
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._idle: dict[
+            str, collections.deque[upstream_connection.UpstreamConnection]
+        ] = collections.defaultdict(collections.deque)
+        self._exchange_ids = itertools.count(1)
+        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._replies = replies.ReplyWatch(
+            limit=late_replies_watched, watch_s=watch_late_s
+        )
+        self._reply_timer: asyncio.TimerHandle | None = None
+        self._watched: dict[int, Exchange] = {}
+        self._on_late = on_late
+        self._on_lost = on_lost
 
     async def start(self) -> None:
-        """Opens the connection pool."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            auto_decompress=False,
+        """Starts the sweep of idle connections."""
+        self._loop = asyncio.get_running_loop()
+        self._sweep_timer = self._loop.call_later(
+            _SWEEP_INTERVAL_S, self._sweep
         )
 
     async def close(self) -> None:
-        """Closes all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        """Closes all connections that no exchange uses."""
+        for timer in (self._sweep_timer, self._reply_timer):
+            if timer is not None:
+                timer.cancel()
+        for idle in self._idle.values():
+            for conn in idle:
+                conn.close()
+        self._idle.clear()
+        for exchange in self._watched.values():
+            if exchange.conn is not None:
+                exchange.conn.close()
+        self._watched.clear()
 
     def send(
         self,
@@ -97,86 +385,219 @@
         attempt: int,
         timeout_s: float,
         on_ended: Callable[[Ended], None],
+        on_started: Callable[[Answer], None] | None = None,
     ) -> Exchange:
-        """Starts an exchange that ends within `timeout_s` seconds."""
-        task = asyncio.get_running_loop().create_task(
-            self._run(upstream, request, attempt, timeout_s, on_ended)
+        """Starts an exchange that ends within `timeout_s` seconds.
+
+        `on_ended` is never called before this returns. `on_started` is called
+        when a long answer begins; its stream then goes to the caller.
+        """
+        assert self._loop is not None
+        exchange = Exchange(
+            client=self,
+            exchange_id=next(self._exchange_ids),
+            upstream=upstream,
+            request=request,
+            attempt=attempt,
+            deadline=self._loop.time() + timeout_s,
+            on_ended=on_ended,
+            on_started=on_started,
         )
-        return Exchange(task=task)
+        exchange.start(self._loop)
+        return exchange
 
-    async def _run(
-        self,
-        upstream: upstreams.Upstream,
-        request: UpstreamRequest,
-        attempt: int,
-        timeout_s: float,
-        on_ended: Callable[[Ended], None],
-    ) -> None:
-        try:
-            async with asyncio.timeout(timeout_s):
-                ended = await self._exchange(upstream, request, attempt)
-        except asyncio.CancelledError:
-            ended = Ended(result=calls.Cancelled())
-        except TimeoutError:
-            ended = Ended(result=calls.TimedOut())
-        except aiohttp.ClientConnectorError:
-            ended = Ended(result=calls.NotSent())
-        except (aiohttp.ClientError, OSError):
-            ended = Ended(result=calls.Broken())
-        on_ended(ended)
-
-    async def _exchange(
-        self,
-        upstream: upstreams.Upstream,
-        request: UpstreamRequest,
-        attempt: int,
-    ) -> Ended:
-        assert self._session is not None
-        sent = request.headers.copy()
-        sent[headers.REQUEST_ID] = request.request_id
-        sent[headers.CLIENT_ACCOUNT] = request.client_account
-        sent[headers.ATTEMPT] = str(attempt)
-        url = f"http://{upstream.address}:{upstream.port}{request.path}"
-        async with self._session.request(
-            request.method,
-            url,
-            headers=sent,
-            data=request.body or None,
-            allow_redirects=False,
-        ) as resp:
-            body = await resp.read()
-            load = headers.parse_load(resp.headers.get(headers.LOAD))
-            if resp.headers.get(headers.REQUEST_ID) != request.request_id:
-                return Ended(result=calls.Crossed(), load=load)
-            if _is_shed(resp):
-                return Ended(result=calls.Shed(), load=load)
-            return Ended(
-                result=calls.Answered(
-                    status=resp.status, failed=resp.status >= 500
-                ),
-                load=load,
-                answer=Answer(
-                    status=resp.status,
-                    headers=end_to_end_headers(resp.headers),
-                    body=body,
-                ),
+    def call_soon(self, callback: Callable[..., None], *args: Any) -> None:
+        """Calls back in the loop's next iteration."""
+        self._loop.call_soon(callback, *args)
+
+    def now(self) -> float:
+        """Returns the time of the loop's clock."""
+        return self._loop.time()
+
+    def take_idle(
+        self, upstream_id: str
+    ) -> upstream_connection.UpstreamConnection | None:
+        """Returns the idle connection that was used last, or None."""
+        idle = self._idle.get(upstream_id)
+        while idle:
+            conn = idle.pop()
+            if conn.is_usable:
+                return conn
+        return None
+
+    async def connect(
+        self, upstream: upstreams.Upstream
+    ) -> upstream_connection.UpstreamConnection:
+        """Opens a connection."""
+        loop = self._loop
+        _, conn = await loop.create_connection(
+            lambda: upstream_connection.UpstreamConnection(
+                loop=loop, upstream_id=upstream.upstream_id
+            ),
+            upstream.address,
+            upstream.port,
+        )
+        return conn
+
+    def release(self, conn: upstream_connection.UpstreamConnection) -> None:
+        """Keeps a connection whose exchange ended, or closes it."""
+        idle = self._idle[conn.upstream_id]
+        if not conn.may_be_reused or len(idle) >= _MAX_IDLE_PER_UPSTREAM:
+            conn.close()
+            return
+        conn.release()
+        conn.idle_since = self._loop.time()
+        idle.append(conn)
+
+    def watch(self, exchange: Exchange) -> None:
+        """Takes over an exchange that timed out."""
+        self._watched[exchange.exchange_id] = exchange
+        self._handle_reply(
+            replies.ExchangeTimedOut(expected=_expected(exchange))
+        )
+
+    def note_arrived(self, exchange: Exchange) -> None:
+        """Notes that a watched exchange's reply is whole."""
+        self._handle_reply(
+            replies.ReplyArrived(exchange_id=exchange.exchange_id)
+        )
+
+    def note_watch_broke(self, exchange: Exchange) -> None:
+        """Notes that a watched exchange's connection broke."""
+        self._handle_reply(replies.WatchBroke(exchange_id=exchange.exchange_id))
+
+    def note_broke(self, exchange: Exchange) -> None:
+        """Notes that a reply was lost before its deadline."""
+        self._handle_reply(replies.ExchangeBroke(expected=_expected(exchange)))
+
+    def note_crossed(self, exchange: Exchange) -> None:
+        """Logs an answer to another request."""
+        log.warning("crossed_reply", extra=_describe(_expected(exchange)))
+
+    def _handle_reply(self, event: replies.Event) -> None:
+        now = self._loop.time()
+        for action in self._replies.handle(event=event, now=now):
+            self._carry_out(action)
+        if self._reply_timer is not None:
+            self._reply_timer.cancel()
+            self._reply_timer = None
+        wakeup = self._replies.next_wakeup
+        if wakeup is not None:
+            self._reply_timer = self._loop.call_at(
+                wakeup, self._handle_reply, replies.Tick()
             )
 
+    def _carry_out(self, action: replies.Action) -> None:
+        match action:
+            case replies.CloseConnection(exchange_id=exchange_id):
+                exchange = self._watched.pop(exchange_id, None)
+                if exchange is not None and exchange.conn is not None:
+                    exchange.conn.close()
+            case replies.ReportLate(expected=expected, lateness_s=lateness_s):
+                log.warning(
+                    "late_reply",
+                    extra=_describe(expected)
+                    | {"lateness_ms": round(lateness_s * 1000, 1)},
+                )
+                self._on_late(expected)
+            case replies.ReportLost(expected=expected, reason=reason):
+                log.warning(
+                    "lost_reply",
+                    extra=_describe(expected) | {"reason": reason.value},
+                )
+                self._on_lost(expected)
+
+    def _sweep(self) -> None:
+        oldest = self._loop.time() - _IDLE_S
+        for upstream_id, idle in list(self._idle.items()):
+            while idle and (idle[0].closed or idle[0].idle_since < oldest):
+                idle.popleft().close()
+            if not idle:
+                del self._idle[upstream_id]
+        self._sweep_timer = self._loop.call_later(
+            _SWEEP_INTERVAL_S, self._sweep
+        )
+
+
+def end_to_end_headers(received: Iterable[tuple[str, str]]) -> Headers:
+    """Returns the headers that a proxy passes on (RFC 9110, 7.6.1)."""
+    kept = []
+    named: set[str] = set()
+    for name, value in received:
+        lower = name.lower()
+        if lower == "connection":
+            named.update(part.strip().lower() for part in value.split(","))
+        elif lower not in _DROPPED:
+            # The parser's names are a kind of str that codecs refuse.
+            kept.append((str(name), value))
+    if named:
+        kept = [pair for pair in kept if pair[0].lower() not in named]
+    return tuple(kept)
+
+
+def _serialize(exchange: Exchange, remaining_ms: int) -> bytes:
+    request = exchange.request
+    lines = [
+        f"{request.method} {request.path} HTTP/1.1",
+        f"Host: {exchange.upstream.address}:{exchange.upstream.port}",
+    ]
+    lines += [f"{name}: {value}" for name, value in request.headers]
+    lines += (
+        f"{headers.REQUEST_ID}: {request.request_id}",
+        f"{headers.CLIENT_ACCOUNT}: {request.client_account}",
+        f"{headers.ATTEMPT}: {exchange.attempt}",
+        f"{headers.DEADLINE_MS}: {remaining_ms}",
+        f"{headers.DEPTH}: {request.depth}",
+    )
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        lines.append(f"Content-Length: {len(request.body)}")
+    return encode_head(lines) + request.body
+
+
+def encode_head(lines: list[str]) -> bytes:
+    """Returns the start line and headers of a message, with their end.
+
+    Raises:
+        UpstreamError: a line holds a line break, which would let a header
+            smuggle in another message.
+    """
+    head = "\r\n".join(lines)
+    breaks = len(lines) - 1
+    if head.count("\n") != breaks or head.count("\r") != breaks or "\0" in head:
+        raise exceptions.UpstreamError("a header holds a line break")
+    return head.encode("utf-8", "surrogateescape") + b"\r\n\r\n"
+
+
+def _content_length(head) -> int | None:
+    value = head.headers.get("Content-Length")
+    return int(value) if value is not None and value.isdecimal() else None
+
 
-def _is_shed(resp: aiohttp.ClientResponse) -> bool:
+def _is_shed(head) -> bool:
     return (
-        resp.status == 503
-        and resp.headers.get(headers.OUTCOME) == errors.Outcome.NOT_RUN
+        head.code == 503
+        and head.headers.get(headers.OUTCOME) == errors.Outcome.NOT_RUN
     )
 
 
-def end_to_end_headers(
-    received: multidict.CIMultiDictProxy[str],
-) -> tuple[tuple[str, str], ...]:
-    """Returns the headers that a proxy passes on (RFC 9110, 7.6.1)."""
-    reserved = frozenset(name.lower() for name in headers.RESERVED)
-    return tuple(
-        (str(name), value)
-        for name, value in received.items()
-        if name.lower() not in _HOP_BY_HOP and name.lower() not in reserved
+def _shed(head) -> calls.Shed:
+    value = head.headers.get("Retry-After", "")
+    return calls.Shed(retry_after_s=float(value) if value.isdecimal() else None)
+
+
+def _expected(exchange: Exchange) -> replies.Expected:
+    return replies.Expected(
+        exchange_id=exchange.exchange_id,
+        client_account=exchange.request.client_account,
+        service=exchange.request.service,
+        upstream_id=exchange.upstream.upstream_id,
+        deadline=exchange.deadline,
     )
+
+
+def _describe(expected: replies.Expected) -> dict[str, str]:
+    return {
+        "client_account": expected.client_account,
+        "service": expected.service,
+        "upstream": expected.upstream_id,
+    }
--- /dev/null
+++ b/tests/transport/test_response_reader.py
@@ -0,0 +1,110 @@
+"""Responses of upstreams, cut into reads in any way."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from tanagerspoke import exceptions
+from tanagerspoke.transport import response_reader
+
+# (method, response, body); each is one whole response.
+WHOLE = (
+    ("GET", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", b"hello"),
+    ("GET", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", b""),
+    (
+        "GET",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nX-T: 1\r\n\r\n",
+        b"abcde",
+    ),
+    ("HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n", b""),
+    ("GET", b"HTTP/1.1 204 No Content\r\n\r\n", b""),
+    ("GET", b"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", b""),
+    (
+        "POST",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"
+        b"HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok",
+        b"ok",
+    ),
+)
+
+
+def _feed(reader: response_reader.ResponseReader, parts: list[bytes]) -> bytes:
+    return b"".join(reader.feed(part) for part in parts)
+
+
+@pytest.mark.parametrize(("method", "response", "body"), WHOLE)
+def test_every_cut(method: str, response: bytes, body: bytes) -> None:
+    """Guards against an end that is seen too early, too late or never."""
+    reader = response_reader.ResponseReader(loop=object())
+    for cut in range(1, len(response)):
+        reader.begin(method=method)
+        got = _feed(reader, [response[:cut]])
+        assert not reader.done
+        got += _feed(reader, [response[cut:]])
+        assert reader.done
+        assert got == body
+        assert not reader.surplus
+
+
+def test_body_without_length_never_ends() -> None:
+    """Guards against a broken answer that looks whole at the close."""
+    reader = response_reader.ResponseReader(loop=object())
+    reader.begin(method="GET")
+    reader.feed(b"HTTP/1.1 200 OK\r\n\r\nhello")
+    assert not reader.done
+
+
+@hypothesis.given(
+    cases=st.lists(st.sampled_from(WHOLE), min_size=1, max_size=4),
+    after=st.one_of(
+        st.sampled_from([case[1] for case in WHOLE]), st.binary(min_size=1)
+    ),
+    data=st.data(),
+)
+def test_any_cuts_and_surplus(
+    cases: list[tuple[str, bytes, bytes]], after: bytes, data: st.DataObject
+) -> None:
+    """Guards against bytes of one response that reach another's reader."""
+    reader = response_reader.ResponseReader(loop=object())
+    for method, response, body in cases:
+        cuts = sorted(
+            data.draw(st.lists(st.integers(0, len(response)), max_size=5))
+        )
+        edges = [0, *cuts, len(response)]
+        parts = [response[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+        reader.begin(method=method)
+        assert _feed(reader, [part for part in parts if part]) == body
+        assert reader.done
+        assert not reader.surplus
+    assert reader.feed(after) == b""
+    assert reader.surplus
+
+
+@hypothesis.given(case=st.sampled_from(WHOLE), after=st.binary(min_size=1))
+def test_surplus_in_same_read(
+    case: tuple[str, bytes, bytes], after: bytes
+) -> None:
+    """Guards against reuse of a connection with unasked bytes on it."""
+    method, response, body = case
+    reader = response_reader.ResponseReader(loop=object())
+    reader.begin(method=method)
+    try:
+        got = reader.feed(response + after)
+    except exceptions.UpstreamError:
+        return
+    assert got == body
+    assert reader.done
+    assert reader.surplus
+
+
+@hypothesis.given(garbage=st.binary(min_size=1, max_size=200))
+def test_garbage_is_an_error_or_not_done(garbage: bytes) -> None:
+    """Guards against parser exceptions of another kind that escape."""
+    reader = response_reader.ResponseReader(loop=object())
+    reader.begin(method="GET")
+    try:
+        reader.feed(garbage)
+    except exceptions.UpstreamError:
+        return
+    assert not reader.done
