--- a/tests/processes/test_whole_answers.py
+++ b/tests/processes/test_whole_answers.py
@@ -272,3 +272,30 @@
         stack.admin_ports["gateway-entry-1-1"], "/metrics"
     )
     assert b"tanagerspoke_late_replies_total{" in body
+
+
+async def test_caller_that_leaves_cancels_its_call(
+    stack: stacks.Stack,
+) -> None:
+    """Guards against slots held for callers that are gone."""
+    reached = asyncio.Event()
+
+    async def script(writer, sent: str, request_id: str) -> None:
+        if "/wait" in sent:
+            reached.set()
+            await asyncio.sleep(stacks.WAIT_S)
+        writer.write(head(request_id, "Content-Length: 2") + b"ok")
+
+    await start(stack, "partner-availability", script)
+    call = asyncio.ensure_future(stack.call("/partner-availability/pull/wait"))
+    await asyncio.wait_for(reached.wait(), stacks.WAIT_S)
+    call.cancel()
+
+    async def ended() -> bool:
+        _, body = await stack.get(
+            stack.admin_ports["gateway-entry-1-1"], "/metrics"
+        )
+        idle = b'tanagerspoke_in_flight{service="partner-availability"} 0'
+        return idle in body and b'code="caller_left"' in body
+
+    await stacks.wait_until(ended, "the attempt to be cancelled")
