--- a/tanagerspoke/state/config.py
+++ b/tanagerspoke/state/config.py
@@ -111,6 +111,9 @@
 
     An update that is not newer, or that starts from a revision which this
     snapshot has not reached, leaves the snapshot as it is.
+
+    Raises:
+        DeclarationError: an item is malformed; the snapshot stays in force.
     """
     if update.revision <= snapshot.revision:
         return snapshot
@@ -128,8 +131,13 @@
 def compile_items(
     *, revision: int, items: Mapping[tuple[str, str], str]
 ) -> ConfigSnapshot:
-    """Returns the compiled snapshot of valid declarations."""
-    parsed = [declarations.parse(body) for body in items.values()]
+    """Returns the compiled snapshot of valid declarations.
+
+    Raises:
+        DeclarationError: with every malformed item, or a client account that
+            leaves a parameter of its limits unset.
+    """
+    parsed = _parse(items)
     templates = {
         d.name: d for d in parsed if isinstance(d, declarations.Template)
     }
@@ -146,6 +154,22 @@
     )
 
 
+def _parse(
+    items: Mapping[tuple[str, str], str],
+) -> list[declarations.Template | declarations.ClientAccount]:
+    parsed = []
+    problems = []
+    for (kind, name), body in items.items():
+        try:
+            parsed.append(declarations.parse(body))
+        except ValueError as exc:
+            first = str(exc).splitlines()[0]
+            problems.append(f"{kind} {name}: {first}")
+    if problems:
+        raise exceptions.DeclarationError("; ".join(problems))
+    return parsed
+
+
 def _compile_services(
     templates: Iterable[declarations.Template],
 ) -> dict[str, ServicePolicy]:
@@ -207,6 +231,10 @@
         case None:
             return None
         case declarations.ParameterRef(parameter=name):
+            if name not in values:
+                raise exceptions.DeclarationError(
+                    f"a limit refers to the unknown parameter {name!r}"
+                )
             return values[name]
         case _:
             return limit
--- a/tanagerspoke/transport/agent_link.py
+++ b/tanagerspoke/transport/agent_link.py
@@ -53,11 +53,31 @@
         while not self.should_stop:
             try:
                 async for update in self._client.subscribe(request):
-                    self._on_update(update)
+                    if not self._take(update):
+                        break
             except exceptions.TanagerspokeError as exc:
                 log.warning("agent_lost", extra={"error": str(exc)})
             await asyncio.sleep(_RECONNECT_S)
 
+    def _take(self, update: agent.GatewayUpdate) -> bool:
+        """Hands an update on; returns False where a delta has a gap."""
+        if (
+            isinstance(update, agent.ConfigUpdate)
+            and update.base_revision > self._revision
+        ):
+            log.warning(
+                "config_gap",
+                extra={"have": self._revision, "base": update.base_revision},
+            )
+            return False
+        try:
+            self._on_update(update)
+        except exceptions.DeclarationError as exc:
+            # The last valid configuration stays in force; the status row
+            # shows the revision that this gateway is left at.
+            log.error("config_refused", extra={"error": str(exc)})
+        return True
+
     @mode.Service.task
     async def _observe(self) -> None:
         while not self.should_stop:
