Add membership, drain marks, probing and the peer protocol

Agents knew neither each other nor which upstreams drain. Heartbeats spread drain marks, revisions and gateway counts; probes go to upstreams without a recent report. agent_service.py only joins one service for each job.

--- a/tanagerspoke/transport/agent_service.py
+++ b/tanagerspoke/transport/agent_service.py
@@ -1,25 +1,37 @@
-"""The agent: platform, configuration, claims and gateways of one host."""
+"""The agent: joins the services of one host's control."""
 
 import asyncio
 from collections.abc import AsyncIterator
+import dataclasses
 import logging
+import random
 
 import mode
-import prometheus_client
 
-from tanagerspoke import exceptions
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import platform
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.settings import options
 from tanagerspoke.state import revisions
 from tanagerspoke.transport import admin_server
+from tanagerspoke.transport import agent_metrics
 from tanagerspoke.transport import claim_service
+from tanagerspoke.transport import config_service
+from tanagerspoke.transport import control_meter
+from tanagerspoke.transport import gateway_feed
 from tanagerspoke.transport import grpc_agent
+from tanagerspoke.transport import grpc_peer
+from tanagerspoke.transport import host_service
+from tanagerspoke.transport import metered_platform
+from tanagerspoke.transport import peer_service
 from tanagerspoke.transport import platform_client
+from tanagerspoke.transport import probe_service
+from tanagerspoke.transport import status_service
 
 log = logging.getLogger(__name__)
 
+_EXPIRE_INTERVAL_S = 1.0
+
 
 class AgentService(mode.Service):
     """One agent process; serves the gateways of its host."""
@@ -33,23 +45,82 @@
         self._claims = claim_service.ClaimService(
             cfg=cfg.store, platform=self._platform
         )
+        self._metrics = agent_metrics.AgentMetrics()
         self._server = grpc_agent.AgentServer(
-            listen=cfg.gateways, shared_key=cfg.shared_key, handler=self
+            listen=cfg.gateways,
+            shared_key=cfg.shared_key,
+            handler=self,
+            tls=cfg.tls,
+            on_refused=self._count_refused,
         )
-        self._registry = prometheus_client.CollectorRegistry()
         self._admin = admin_server.AdminServer(
             listen=cfg.admin,
-            registry=self._registry,
-            is_ready=lambda: self._config is not None,
+            registry=self._metrics.registry,
+            is_ready=lambda: self._config.follower.in_force.revision > 0,
+        )
+        self._listed: tuple[upstreams.Upstream, ...] = ()
+        self._marked: frozenset[str] = frozenset()
+        self._build()
+
+    def _build(self) -> None:
+        cfg = self._cfg
+        rng = random.Random()
+        self._meter = control_meter.ControlMeter(
+            cfg=cfg.budget, metrics=self._metrics
+        )
+        metered = metered_platform.MeteredPlatform(
+            client=self._platform, meter=self._meter, metrics=self._metrics
+        )
+        self._peer_client = grpc_peer.PeerClient(
+            shared_key=cfg.shared_key, tls=cfg.tls, timeout_s=1.0
+        )
+        self._peers = peer_service.PeerService(
+            cfg=cfg,
+            meter=self._meter,
+            metrics=self._metrics,
+            client=self._peer_client,
+            listener=self,
+            rng=rng,
+        )
+        self._config = config_service.ConfigService(
+            poll_interval_s=cfg.poll_interval_s,
+            platform=metered,
+            meter=self._meter,
+            peers=self._peer_client,
+            target_of=self._peers.target_of,
+            on_install=self._config_installed,
+            rng=rng,
+        )
+        self._feed = gateway_feed.GatewayFeed(
+            on_gateways=self._peers.set_gateways
+        )
+        self._hosts = host_service.HostService(
+            poll_interval_s=cfg.poll_interval_s,
+            platform=metered,
+            on_hosts=self._hosts_changed,
+            on_draining=self._peers.saw_draining,
+            rng=rng,
+        )
+        self._probes = probe_service.ProbeService(
+            meter=self._meter, on_load=self._load_probed, rng=rng
+        )
+        self._status = status_service.StatusService(
+            platform=metered, read=self._node_status
         )
-        self._config: agent.ConfigUpdate | None = None
-        self._upstreams: agent.UpstreamsUpdate | None = None
-        self._subscribers: set[asyncio.Queue[agent.GatewayUpdate]] = set()
 
     async def on_start(self) -> None:
         """Opens the ports."""
         await self._platform.start()
-        await self.add_runtime_dependency(self._claims)
+        for service in (
+            self._claims,
+            self._meter,
+            self._peers,
+            self._config,
+            self._hosts,
+            self._probes,
+            self._status,
+        ):
+            await self.add_runtime_dependency(service)
         await self._server.start()
         await self._admin.start()
         log.info("agent_started")
@@ -62,71 +133,96 @@
         """Closes the ports."""
         await self._admin.close()
         await self._server.close()
+        await self._peer_client.close()
         await self._platform.close()
 
     @mode.Service.task
-    async def _poll(self) -> None:
+    async def _expire(self) -> None:
         while not self.should_stop:
-            try:
-                await self._poll_config()
-                await self._poll_hosts()
-            except exceptions.PlatformError as exc:
-                log.warning("platform_unavailable", extra={"error": str(exc)})
-            await asyncio.sleep(self._cfg.poll_interval_s)
-
-    async def _poll_config(self) -> None:
-        row = await self._platform.get(revisions.HEAD_KEY)
-        if row is None:
-            return
-        head = revisions.decode_head(row.value)
-        if self._config is not None and head.revision <= self._config.revision:
-            return
-        scanned = await self._platform.scan(prefix=revisions.ITEM_PREFIX)
-        items = tuple(revisions.decode_item(row.value) for row in scanned.rows)
-        self._config = agent.ConfigUpdate(
-            revision=head.revision, base_revision=0, items=items
-        )
-        self._publish(self._config)
-
-    async def _poll_hosts(self) -> None:
-        listed = await self._platform.hosts()
-        if listed is None:
-            return
-        update = agent.UpstreamsUpdate(
-            upstreams=tuple(
-                _upstream(host)
-                for host in listed.hosts
-                if host.role == "upstream"
+            await asyncio.sleep(_EXPIRE_INTERVAL_S)
+            self._feed.expire()
+
+    def _config_installed(self, update: agent.ConfigUpdate) -> None:
+        self._metrics.revision.set(update.revision)
+        self._feed.publish(update, full=self._config.follower.full_update())
+
+    def _hosts_changed(self, listed: platform.HostList) -> None:
+        self._peers.set_listed(listed.hosts)
+        self._listed = tuple(
+            _upstream(host) for host in listed.hosts if host.role == "upstream"
+        )
+        for upstream in self._listed:
+            if upstream.leaving:
+                self._peers.saw_draining(upstream.upstream_id)
+        self._publish_upstreams()
+
+    def _publish_upstreams(self) -> None:
+        listed = tuple(
+            dataclasses.replace(
+                upstream,
+                leaving=upstream.leaving
+                or upstream.upstream_id in self._marked,
             )
+            for upstream in self._listed
         )
-        if update != self._upstreams:
-            self._upstreams = update
-            self._publish(update)
+        self._probes.set_upstreams(listed)
+        self._feed.publish(agent.UpstreamsUpdate(upstreams=listed))
+
+    def _load_probed(self, report: agent.ProbedLoad) -> None:
+        if report.load.phase is upstreams.UpstreamPhase.DRAINING:
+            self._peers.saw_draining(report.upstream_id)
+        self._feed.publish_passing(agent.LoadUpdate(reports=(report,)))
+
+    def _node_status(self) -> revisions.NodeStatus:
+        follower = self._config.follower
+        return revisions.NodeStatus(
+            host=self._cfg.place.host,
+            revision=follower.in_force.revision,
+            gateways={
+                gateway.gateway_id: gateway.revision
+                for gateway in self._feed.gateways()
+            },
+            problem=follower.problem,
+        )
+
+    def _count_refused(self, reason: str) -> None:
+        self._metrics.refused.labels(reason).inc()
+
+    def drain_marks_changed(self, upstream_ids: tuple[str, ...]) -> None:
+        """Takes the upstreams that some host saw draining."""
+        self._marked = frozenset(upstream_ids)
+        self._feed.publish(agent.DrainUpdate(upstream_ids=upstream_ids))
+        # A mark that expired leaves the list of upstreams only.
+        self._publish_upstreams()
+
+    def fleet_changed(self, gateways: int) -> None:
+        """Takes the number of live gateways of the fleet."""
+        self._feed.publish(agent.FleetUpdate(gateways=gateways))
+
+    def revision_heard(self, host: str, revision: int) -> None:
+        """Takes the revision that a peer has in force."""
+        self._config.hint(host=host, revision=revision)
+
+    def config_in_force(self) -> tuple[agent.ConfigUpdate | None, str]:
+        """Returns the whole configuration in force and its digest."""
+        follower = self._config.follower
+        return follower.full_update(), follower.digest
 
-    def _publish(self, update: agent.GatewayUpdate) -> None:
-        for queue in self._subscribers:
-            queue.put_nowait(update)
+    def revision_in_force(self) -> int:
+        """Returns the configuration revision in force."""
+        return self._config.follower.in_force.revision
 
-    async def subscribe(
+    def subscribe(
         self, request: agent.SubscribeRequest
     ) -> AsyncIterator[agent.GatewayUpdate]:
         """Yields the full state, then every change."""
-        del request
-        queue: asyncio.Queue[agent.GatewayUpdate] = asyncio.Queue()
-        self._subscribers.add(queue)
-        try:
-            if self._config is not None:
-                yield self._config
-            if self._upstreams is not None:
-                yield self._upstreams
-            while True:
-                yield await queue.get()
-        finally:
-            self._subscribers.discard(queue)
+        return self._feed.subscribe(request)
 
     async def claim(self, request: agent.ClaimRequest) -> agent.ClaimReply:
         """Claims the right to run a write."""
-        return await self._claims.claim(request)
+        reply = await self._claims.claim(request)
+        self._metrics.claims.labels(type(reply).__name__).inc()
+        return reply
 
     async def complete(
         self, request: agent.CompleteRequest
@@ -138,7 +234,10 @@
         self, request: agent.ObserveRequest
     ) -> agent.ObserveReply:
         """Takes what a gateway saw."""
-        del request
+        self._feed.observe(request)
+        for upstream_id in request.draining:
+            self._peers.saw_draining(upstream_id)
+        self._probes.note_reported(request.reported)
         return agent.ObserveReply()
 
 
--- a/tanagerspoke/transport/grpc_agent.py
+++ b/tanagerspoke/transport/grpc_agent.py
@@ -1,7 +1,6 @@
 """gRPC between a gateway and the agent of its host."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
-import hmac
 from typing import Any, Protocol
 
 import grpc
@@ -11,8 +10,7 @@
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import codec
 from tanagerspoke.settings import options
-
-_KEY_METADATA = "tanagerspoke-key"
+from tanagerspoke.transport import grpc_security
 
 _subscribe_decoder = codec.Decoder(message_type=agent.SubscribeRequest)
 _update_decoder = codec.Decoder(message_type=agent.GatewayUpdate)
@@ -44,35 +42,6 @@
         """Takes what a gateway saw."""
 
 
-async def check_key(context: grpc.aio.ServicerContext, shared_key: str) -> None:
-    """Aborts the call unless its metadata carries the shared key."""
-    metadata = dict(context.invocation_metadata() or ())
-    given = str(metadata.get(_KEY_METADATA, ""))
-    if not hmac.compare_digest(given.encode(), shared_key.encode()):
-        await context.abort(
-            grpc.StatusCode.UNAUTHENTICATED, "shared key is missing or wrong"
-        )
-
-
-def unary_handler(
-    *,
-    shared_key: str,
-    decoder: codec.Decoder,
-    handle: Callable[[Any], Awaitable[Any]],
-) -> grpc.RpcMethodHandler:
-    """Returns a handler that checks the key and the message."""
-
-    async def handler(data: bytes, context: grpc.aio.ServicerContext) -> bytes:
-        await check_key(context, shared_key)
-        try:
-            request = decoder.decode(data)
-        except exceptions.ProtocolError as exc:
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(exc))
-        return codec.encode(await handle(request))
-
-    return grpc.unary_unary_rpc_method_handler(handler)
-
-
 class AgentServer:
     """Serves the gateways of this host."""
 
@@ -82,10 +51,14 @@
         listen: options.Endpoint,
         shared_key: str,
         handler: AgentHandler,
+        tls: options.Tls | None = None,
+        on_refused: Callable[[str], None] = grpc_security.ignore_refusal,
     ) -> None:
         self._listen = listen
         self._shared_key = shared_key
         self._handler = handler
+        self._tls = tls
+        self._on_refused = on_refused
         self._server: grpc.aio.Server | None = None
 
     async def start(self) -> None:
@@ -98,8 +71,8 @@
                 ),
             )
         )
-        self._server.add_insecure_port(
-            f"{self._listen.address}:{self._listen.port}"
+        grpc_security.add_port(
+            server=self._server, listen=self._listen, tls=self._tls
         )
         await self._server.start()
 
@@ -122,18 +95,23 @@
         decoder: codec.Decoder,
         handle: Callable[[Any], Awaitable[Any]],
     ) -> grpc.RpcMethodHandler:
-        return unary_handler(
-            shared_key=self._shared_key, decoder=decoder, handle=handle
+        return grpc_security.unary_handler(
+            shared_key=self._shared_key,
+            decoder=decoder,
+            handle=handle,
+            on_refused=self._on_refused,
         )
 
     async def _subscribe(
         self, data: bytes, context: grpc.aio.ServicerContext
     ) -> AsyncIterator[bytes]:
-        await check_key(context, self._shared_key)
-        try:
-            request = _subscribe_decoder.decode(data)
-        except exceptions.ProtocolError as exc:
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(exc))
+        request = await grpc_security.accept(
+            data=data,
+            context=context,
+            shared_key=self._shared_key,
+            decoder=_subscribe_decoder,
+            on_refused=self._on_refused,
+        )
         async for update in self._handler.subscribe(request):
             yield codec.encode(update)
 
@@ -144,20 +122,22 @@
     Every call raises `AgentUnavailableError` where no valid answer came.
     """
 
-    def __init__(self, *, endpoint: options.Endpoint, shared_key: str) -> None:
+    def __init__(
+        self,
+        *,
+        endpoint: options.Endpoint,
+        shared_key: str,
+        tls: options.Tls | None = None,
+    ) -> None:
         self._target = f"{endpoint.address}:{endpoint.port}"
-        self._metadata = ((_KEY_METADATA, shared_key),)
+        self._metadata = grpc_security.metadata(shared_key)
+        self._tls = tls
         self._channel: grpc.aio.Channel | None = None
 
     async def start(self) -> None:
         """Opens the channel; it connects when first used."""
-        self._channel = grpc.aio.insecure_channel(
-            self._target,
-            options=(
-                ("grpc.initial_reconnect_backoff_ms", 100),
-                ("grpc.min_reconnect_backoff_ms", 100),
-                ("grpc.max_reconnect_backoff_ms", 1000),
-            ),
+        self._channel = grpc_security.channel(
+            target=self._target, tls=self._tls
         )
 
     async def close(self) -> None:
--- /dev/null
+++ b/tanagerspoke/transport/grpc_peer.py
@@ -0,0 +1,166 @@
+"""gRPC between the agents of entry hosts."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import grpc
+import grpc.aio
+
+from tanagerspoke import exceptions
+from tanagerspoke.protocol import codec
+from tanagerspoke.protocol import peer
+from tanagerspoke.settings import options
+from tanagerspoke.transport import grpc_security
+
+_heartbeat_decoder = codec.Decoder(message_type=peer.Heartbeat)
+_request_decoder = codec.Decoder(message_type=peer.SnapshotRequest)
+_snapshot_decoder = codec.Decoder(message_type=peer.SnapshotReply)
+
+# Channels kept open; in a large fleet each peer is contacted rarely.
+_MAX_CHANNELS = 16
+
+
+class PeerHandler(Protocol):
+    """What an agent does for its peers."""
+
+    async def exchange(self, heartbeat: peer.Heartbeat) -> peer.Heartbeat:
+        """Takes a heartbeat and returns the own one."""
+
+    async def fetch_snapshot(
+        self, request: peer.SnapshotRequest
+    ) -> peer.SnapshotReply:
+        """Returns the configuration in force if it is newer."""
+
+    def count_exchange(self, size_bytes: int) -> None:
+        """Charges the bytes of a heartbeat and its answer."""
+
+    def count_snapshot(self, size_bytes: int) -> None:
+        """Charges the bytes of a snapshot request and its answer."""
+
+
+class PeerServer:
+    """Serves the agents of other hosts."""
+
+    def __init__(
+        self,
+        *,
+        listen: options.Endpoint,
+        shared_key: str,
+        tls: options.Tls | None,
+        handler: PeerHandler,
+        on_refused: Callable[[str], None],
+    ) -> None:
+        self._listen = listen
+        self._shared_key = shared_key
+        self._tls = tls
+        self._handler = handler
+        self._on_refused = on_refused
+        self._server: grpc.aio.Server | None = None
+
+    async def start(self) -> None:
+        """Opens the port."""
+        self._server = grpc.aio.server()
+        self._server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    peer.SERVICE, self._methods()
+                ),
+            )
+        )
+        grpc_security.add_port(
+            server=self._server, listen=self._listen, tls=self._tls
+        )
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Closes the port; running calls get a short grace time."""
+        if self._server is not None:
+            await self._server.stop(grace=0.5)
+            self._server = None
+
+    def _methods(self) -> dict[str, grpc.RpcMethodHandler]:
+        return {
+            "Exchange": self._unary(
+                _heartbeat_decoder,
+                self._handler.exchange,
+                self._handler.count_exchange,
+            ),
+            "FetchSnapshot": self._unary(
+                _request_decoder,
+                self._handler.fetch_snapshot,
+                self._handler.count_snapshot,
+            ),
+        }
+
+    def _unary(
+        self,
+        decoder: codec.Decoder,
+        handle: Callable[[Any], Awaitable[Any]],
+        on_exchange: Callable[[int], None],
+    ) -> grpc.RpcMethodHandler:
+        return grpc_security.unary_handler(
+            shared_key=self._shared_key,
+            decoder=decoder,
+            handle=handle,
+            on_refused=self._on_refused,
+            on_exchange=on_exchange,
+        )
+
+
+class PeerClient:
+    """Connections to other agents, the most recently used kept open.
+
+    Every call raises `AgentUnavailableError` where no answer came and
+    `ProtocolError` where it is malformed.
+    """
+
+    def __init__(
+        self, *, shared_key: str, tls: options.Tls | None, timeout_s: float
+    ) -> None:
+        self._metadata = grpc_security.metadata(shared_key)
+        self._tls = tls
+        self._timeout_s = timeout_s
+        self._channels: dict[str, grpc.aio.Channel] = {}
+
+    async def close(self) -> None:
+        """Closes all channels."""
+        channels = list(self._channels.values())
+        self._channels.clear()
+        for channel in channels:
+            await channel.close()
+
+    async def exchange(
+        self, *, target: str, data: bytes
+    ) -> tuple[peer.Heartbeat, int]:
+        """Sends an encoded heartbeat; returns the answer and its bytes."""
+        answer = await self._call(target, "Exchange", data)
+        return _heartbeat_decoder.decode(answer), len(answer)
+
+    async def fetch_snapshot(
+        self, *, target: str, data: bytes
+    ) -> tuple[peer.SnapshotReply, int]:
+        """Sends an encoded request; returns the answer and its bytes."""
+        answer = await self._call(target, "FetchSnapshot", data)
+        return _snapshot_decoder.decode(answer), len(answer)
+
+    async def _call(self, target: str, name: str, data: bytes) -> bytes:
+        channel = await self._channel(target)
+        method = channel.unary_unary(f"/{peer.SERVICE}/{name}")
+        try:
+            return await method(
+                data, metadata=self._metadata, timeout=self._timeout_s
+            )
+        except grpc.aio.AioRpcError as exc:
+            raise exceptions.AgentUnavailableError(
+                f"peer {target}: {exc.code().name}: {exc.details()}"
+            ) from exc
+
+    async def _channel(self, target: str) -> grpc.aio.Channel:
+        channel = self._channels.pop(target, None)
+        if channel is None:
+            channel = grpc_security.channel(target=target, tls=self._tls)
+        self._channels[target] = channel
+        while len(self._channels) > _MAX_CHANNELS:
+            oldest = next(iter(self._channels))
+            await self._channels.pop(oldest).close(grace=self._timeout_s)
+        return channel
