Complete the operator program

apply overwrote items of other operators and gave up on any concurrent commit. It now checks all files and the resulting table state, commits changed items only, retries on a new head, settles lost answers by the change id and refuses items that changed since the lock file saw them.

--- a/tanagerspoke/commands/apply.py
+++ b/tanagerspoke/commands/apply.py
@@ -1,101 +1,81 @@
 """The subcommand `tanagerspokectl apply`."""
 
+import asyncio
 import pathlib
-import uuid
+import time
 
 from tanagerspoke import exceptions
-from tanagerspoke.commands import declared
-from tanagerspoke.commands import program
-from tanagerspoke.protocol import agent
-from tanagerspoke.protocol import platform
+from tanagerspoke.commands import commits
+from tanagerspoke.commands import nodes
+from tanagerspoke.commands import session
 from tanagerspoke.settings import options
-from tanagerspoke.state import revisions
 from tanagerspoke.transport import platform_client
 
+_POLL_INTERVAL_S = 0.25
 
-def apply(*directories: pathlib.Path, settings: pathlib.Path) -> None:
+
+def apply(
+    *directories: pathlib.Path,
+    settings: pathlib.Path,
+    prune: bool = False,
+    wait: bool = False,
+    wait_timeout_s: float = 60.0,
+) -> None:
     """Commits the declarations of one or more directories.
 
+    Exit codes: 1 failed, 2 invalid, 3 conflict with another operator.
+
     Args:
         directories: directories of JSON declarations.
         settings: JSON settings file.
+        prune: delete items that were applied from these directories before
+            and are no longer declared.
+        wait: wait until every live node has the revision in force.
+        wait_timeout_s: longest wait in seconds.
     """
-    cfg = program.load_settings(path=settings, option_type=options.Ctl)
-    revision = program.run_once(
-        name="tanagerspokectl",
-        log_level=cfg.log_level,
-        job=_apply(cfg, directories),
-    )
-    print(f"revision {revision} is committed")
 
+    async def job(
+        cfg: options.Ctl, client: platform_client.PlatformClient
+    ) -> commits.Outcome:
+        workspace = session.Workspace(directories)
+        committer = commits.Committer(table=client, author=cfg.author)
+        outcome = await committer.commit(workspace.desired(prune=prune))
+        workspace.remember(outcome, prune=prune)
+        print(
+            f"revision {outcome.revision} is committed "
+            f"({outcome.changed} items changed)"
+        )
+        if wait:
+            await _wait(client, outcome.revision, wait_timeout_s)
+            print(f"revision {outcome.revision} is in force on every live node")
+        return outcome
 
-async def _apply(
-    cfg: options.Ctl, directories: tuple[pathlib.Path, ...]
-) -> int:
-    items = declared.read_directories(directories)
-    client = platform_client.PlatformClient(
-        endpoint=cfg.platform, timeout_s=cfg.timeout_s
-    )
-    await client.start()
-    try:
-        return await _commit(client, cfg.author, items)
-    finally:
-        await client.close()
+    session.run(settings=settings, job=job)
 
 
-async def _commit(
-    client: platform_client.PlatformClient,
-    author: str,
-    items: tuple[agent.Item, ...],
-) -> int:
-    row = await client.get(revisions.HEAD_KEY)
-    base = 0 if row is None else revisions.decode_head(row.value).revision
-    condition = (
-        platform.Absent()
-        if row is None
-        else platform.VersionIs(version=row.version)
-    )
-    head = revisions.Head(
-        revision=base + 1, change_id=uuid.uuid4().hex, author=author
-    )
-    operations = [
-        _put(revisions.HEAD_KEY, condition, head),
-        _put(
-            revisions.log_key(head.revision),
-            platform.Absent(),
-            revisions.Change(
-                revision=head.revision,
-                change_id=head.change_id,
-                author=author,
-                items=items,
-            ),
-        ),
-    ]
-    operations.extend(
-        _put(
-            revisions.item_key(item),
-            platform.Always(),
-            revisions.StoredItem(revision=head.revision, item=item),
-        )
-        for item in items
-    )
-    reply = await client.transact(
-        platform.Transaction(operations=tuple(operations))
-    )
-    if isinstance(reply, platform.Rejected):
-        raise exceptions.PlatformError(
-            "another operator committed a change at the same moment"
-        )
-    return head.revision
+async def _wait(
+    client: nodes.Platform, revision: int, timeout_s: float
+) -> None:
+    until = time.monotonic() + timeout_s
+    while True:
+        try:
+            lagging = await _lagging(client, revision)
+        except exceptions.PlatformError as exc:
+            lagging = [f"unknown, {exc}"]
+        if not lagging:
+            return
+        if time.monotonic() > until:
+            raise exceptions.PlatformError(
+                f"revision {revision} is committed, but after {timeout_s} s "
+                f"not in force on: {', '.join(lagging)}"
+            )
+        await asyncio.sleep(_POLL_INTERVAL_S)
 
 
-def _put(
-    key: str,
-    condition: platform.Condition,
-    message: revisions.Head | revisions.StoredItem | revisions.Change,
-) -> platform.Operation:
-    return platform.Operation(
-        key=key,
-        condition=condition,
-        write=platform.Put(value=revisions.encode(message)),
-    )
+async def _lagging(client: nodes.Platform, revision: int) -> list[str]:
+    found = await nodes.read(client)
+    return [
+        node.host
+        for node in found
+        if node.listing != "leaving" and not node.has(revision)
+    ]
--- a/tanagerspoke/commands/declared.py
+++ b/tanagerspoke/commands/declared.py
@@ -1,49 +1,100 @@
 """Reads the declarations of a directory for the operator's commands."""
 
+from collections.abc import Iterable
+import dataclasses
 import json
 import pathlib
+from typing import Any
 
 import pydantic
 
 from tanagerspoke import exceptions
+from tanagerspoke.commands import lock
 from tanagerspoke.protocol import agent
 from tanagerspoke.settings import options
 from tanagerspoke.state import declarations
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Source:
+    """A declaration file: its path, directory, item and declaration."""
+
+    directory: pathlib.Path
+    path: pathlib.Path
+    item: agent.Item
+    declared: declarations.Declared
+
+
 def read_directories(
-    directories: tuple[pathlib.Path, ...],
-) -> tuple[agent.Item, ...]:
+    directories: Iterable[pathlib.Path], *, complete: bool = True
+) -> tuple[Source, ...]:
     """Returns every declaration below the directories.
 
+    Args:
+        directories: where the files are.
+        complete: whether every template has to be in the directories.
+
     Raises:
         DeclarationError: with every error of every file.
     """
-    items = []
+    sources = []
     errors = []
-    for path in _files(directories):
-        try:
-            items.append(_read(path))
-        except pydantic.ValidationError as exc:
-            errors.append(options.describe_errors(where=str(path), exc=exc))
+    for directory in directories:
+        files = _files(directory)
+        if not files:
+            errors.append(f"{directory}: holds no declaration (*.json)")
+        for path in files:
+            try:
+                sources.append(_read(directory, path))
+            except exceptions.DeclarationError as exc:
+                errors.append(str(exc))
+    errors.extend(
+        declarations.check(
+            (source.declared for source in sources), complete=complete
+        )
+    )
     if errors:
         raise exceptions.DeclarationError("\n".join(errors))
-    return tuple(items)
+    return tuple(sources)
 
 
-def _read(path: pathlib.Path) -> agent.Item:
-    text = path.read_text()
-    declaration = declarations.parse(text)
-    return agent.Item(
-        kind=declaration.kind,
-        name=declaration.name,
-        body=json.dumps(json.loads(text), separators=(",", ":")),
+def _read(directory: pathlib.Path, path: pathlib.Path) -> Source:
+    try:
+        text = path.read_text(encoding="utf-8")
+        content = json.loads(text, object_pairs_hook=_object)
+        declaration = declarations.parse(text)
+    except pydantic.ValidationError as exc:
+        raise exceptions.DeclarationError(
+            options.describe_errors(where=str(path), exc=exc)
+        ) from exc
+    except (OSError, ValueError, RecursionError) as exc:
+        raise exceptions.DeclarationError(f"{path}: {exc}") from exc
+    return Source(
+        directory=directory,
+        path=path,
+        item=agent.Item(
+            kind=declaration.kind,
+            name=declaration.name,
+            body=json.dumps(content, separators=(",", ":"), sort_keys=True),
+        ),
+        declared=declarations.Declared(
+            where=str(path), declaration=declaration
+        ),
     )
 
 
-def _files(directories: tuple[pathlib.Path, ...]) -> list[pathlib.Path]:
-    return [
+def _object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    content = dict(pairs)
+    if len(content) < len(pairs):
+        names = [name for name, _ in pairs]
+        repeated = sorted({name for name in names if names.count(name) > 1})
+        raise ValueError(f"members {repeated} are repeated; remove one each")
+    return content
+
+
+def _files(directory: pathlib.Path) -> list[pathlib.Path]:
+    return sorted(
         path
-        for directory in directories
-        for path in sorted(directory.rglob("*.json"))
-    ]
+        for path in directory.rglob("*.json")
+        if path.name != lock.FILE_NAME
+    )
--- a/tanagerspoke/commands/program.py
+++ b/tanagerspoke/commands/program.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from tanagerspoke import exceptions
+from tanagerspoke.commands import changes
 from tanagerspoke.settings import options
 from tanagerspoke.transport import logs
 
@@ -17,6 +18,7 @@
 
 EXIT_FAILED = 1
 EXIT_INVALID = 2
+EXIT_CONFLICT = 3
 
 
 class Running(Protocol):
@@ -58,7 +60,10 @@
 
 
 def run_once(*, name: str, log_level: str, job: Awaitable[T]) -> T:
-    """Runs a command; prints an error of this package and exits with 1."""
+    """Runs a command; prints an error of this package and exits.
+
+    The exit code is 2 for invalid input, 3 for a conflict, 1 otherwise.
+    """
     logs.configure(program=name, level=log_level)
 
     async def run() -> T:
@@ -69,6 +74,9 @@
     except exceptions.DeclarationError as exc:
         print(exc, file=sys.stderr)
         raise SystemExit(EXIT_INVALID) from exc
+    except changes.ConflictError as exc:
+        print(exc, file=sys.stderr)
+        raise SystemExit(EXIT_CONFLICT) from exc
     except exceptions.TanagerspokeError as exc:
         print(exc, file=sys.stderr)
         raise SystemExit(EXIT_FAILED) from exc
--- a/tanagerspoke/commands/tanagerspokectl.py
+++ b/tanagerspoke/commands/tanagerspokectl.py
@@ -4,11 +4,17 @@
 
 import tanagerspoke
 from tanagerspoke.commands import apply
+from tanagerspoke.commands import diff
+from tanagerspoke.commands import drain
+from tanagerspoke.commands import status
 from tanagerspoke.commands import validate
 
 app = cyclopts.App(name="tanagerspokectl", version=tanagerspoke.__version__)
-app.command(apply.apply)
 app.command(validate.validate)
+app.command(diff.diff)
+app.command(apply.apply)
+app.command(status.status)
+app.command(drain.drain)
 
 
 def main() -> None:
