--- a/tanagerspoke/coordination/budget.py
+++ b/tanagerspoke/coordination/budget.py
@@ -32,14 +32,18 @@
     PROCESS = "process"
 
 
+# Shortest time between two polls of one kind, whatever the settings say:
+# shorter ones would spend the whole budget on polls that find nothing.
+MIN_POLL_INTERVAL_S = 1.0
+
 # Share of the bucket that a kind leaves untouched for the kinds above it.
 # Without it, probes would take every byte as it accrues and a heartbeat or a
 # poll of the head, which is larger than a probe, would never find enough.
 _RESERVE_SHARE = {
     Kind.HEARTBEAT: 0.0,
     Kind.HEAD: 0.0,
-    Kind.CONFIG: 0.2,
-    Kind.STATUS: 0.2,
+    Kind.CONFIG: 0.0,
+    Kind.STATUS: 0.1,
     Kind.HOSTS: 0.2,
     Kind.PROBE: 0.4,
     Kind.PROCESS: 0.4,
--- a/tanagerspoke/coordination/configuration.py
+++ b/tanagerspoke/coordination/configuration.py
@@ -300,7 +300,8 @@
                 )
             return actions + self._rest(now)
         self._empty_logs += not event.changes
-        if scanned or 0 < self._empty_logs < _MAX_EMPTY_LOGS:
+        empty = not event.changes and self._empty_logs < _MAX_EMPTY_LOGS
+        if scanned or empty:
             # A stale read; the next poll starts again.
             self._scan = None
             return self._rest(now)
--- a/tanagerspoke/transport/config_service.py
+++ b/tanagerspoke/transport/config_service.py
@@ -64,7 +64,9 @@
         self._target_of = target_of
         self._on_install = on_install
         self.follower = configuration.ConfigurationFollower(
-            poll_interval_s=poll_interval_s, rng=rng, now=time.monotonic()
+            poll_interval_s=max(poll_interval_s, budget.MIN_POLL_INTERVAL_S),
+            rng=rng,
+            now=time.monotonic(),
         )
 
     def hint(self, *, host: str, revision: int) -> None:
--- a/tanagerspoke/transport/host_service.py
+++ b/tanagerspoke/transport/host_service.py
@@ -41,7 +41,7 @@
         rng: randomness.Random,
     ) -> None:
         super().__init__()
-        self._interval_s = poll_interval_s
+        self._interval_s = max(poll_interval_s, budget.MIN_POLL_INTERVAL_S)
         self._platform = platform
         self._on_hosts = on_hosts
         self._on_draining = on_draining
--- /dev/null
+++ b/tests/coordination/test_budget.py
@@ -0,0 +1,112 @@
+"""The control budget: a state machine and focused tests."""
+
+import itertools
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tanagerspoke.coordination import budget
+
+_RATE = 4096
+
+
+def _budget() -> budget.ControlBudget:
+    return budget.ControlBudget(
+        bytes_per_s=_RATE, cpu_share=0.042, memory_bytes=1000, now=0.0
+    )
+
+
+@hypothesis.settings(max_examples=150, stateful_step_count=40)
+class BudgetMachine(stateful.RuleBasedStateMachine):
+    """Guards against overdrawing the byte budget over any window."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.budget = _budget()
+        self.now = 0.0
+        self.open: list[budget.Grant] = []
+        # (time, bytes) of every grant, at the full size that may be sent.
+        self.granted: list[list[float]] = []
+        self.index: dict[int, int] = {}
+
+    @stateful.rule(seconds=st.floats(0, 3))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @stateful.rule(seconds=st.floats(0, 100))
+    def step_clock_back(self, seconds: float) -> None:
+        self.budget.request(
+            kind=budget.Kind.PROBE, size_bytes=10**6, now=self.now - seconds
+        )
+
+    @stateful.rule(
+        kind=st.sampled_from(budget.Kind), size=st.integers(1, _RATE)
+    )
+    def request(self, kind: budget.Kind, size: int) -> None:
+        grant = self.budget.request(kind=kind, size_bytes=size, now=self.now)
+        if grant is not None:
+            self.index[id(grant)] = len(self.granted)
+            self.open.append(grant)
+            self.granted.append([self.now, size])
+
+    @stateful.precondition(lambda self: self.open)
+    @stateful.rule(share=st.floats(0, 1))
+    def settle(self, share: float) -> None:
+        grant = self.open.pop(0)
+        used = int(grant.size_bytes * share)
+        self.budget.settle(grant, used_bytes=used, now=self.now)
+        self.granted[self.index[id(grant)]][1] = used
+
+    @stateful.invariant()
+    def never_overdrawn(self) -> None:
+        for first in range(len(self.granted)):
+            spent = 0.0
+            for at, size in itertools.islice(self.granted, first, None):
+                spent += size
+                window = at - self.granted[first][0]
+                assert spent <= _RATE * (window + 1) + 1e-6
+        assert sum(size for _, size in self.granted) <= _RATE * self.now + 1e-6
+
+
+TestBudgetMachine = BudgetMachine.TestCase
+
+
+def test_probes_leave_room_for_heartbeats() -> None:
+    """Guards against heartbeats that starve behind a surge of probes."""
+    control = _budget()
+    granted = dict.fromkeys(budget.Kind, 0)
+
+    def send(kind: budget.Kind, size: int, now: float) -> None:
+        grant = control.request(kind=kind, size_bytes=size, now=now)
+        if grant is not None:
+            granted[kind] += 1
+            control.settle(grant, used_bytes=size, now=now)
+
+    for tick in range(1, 1001):
+        send(budget.Kind.PROBE, 530, tick / 100)
+        if tick % 25 == 0:
+            send(budget.Kind.HEARTBEAT, 900, tick / 100)
+    # 10 s; a heartbeat of 900 bytes every 0.25 s from the second one on.
+    assert granted[budget.Kind.HEARTBEAT] >= 38
+    assert granted[budget.Kind.PROBE] > 0
+
+
+def test_claims_do_not_hold_up_configuration() -> None:
+    """Guards against a demand surge that stops configuration changes."""
+    control = _budget()
+    control.charge_cpu(kind=budget.Kind.PROCESS, cpu_s=50.0, now=1.0)
+    for kind in budget.Kind:
+        granted = control.request(kind=kind, size_bytes=100, now=2.0)
+        essential = kind in ("heartbeat", "head", "config")
+        assert (granted is not None) == essential, kind
+    assert control.request(kind=budget.Kind.PROBE, size_bytes=100, now=20.0)
+
+
+def test_unasked_messages_are_paid_first() -> None:
+    """Guards against peers that raise the budget by sending more."""
+    control = _budget()
+    control.charge(kind=budget.Kind.HEARTBEAT, size_bytes=3 * _RATE, now=1.0)
+    ask = {"kind": budget.Kind.HEARTBEAT, "size_bytes": 100}
+    assert control.request(**ask, now=2.9) is None
+    assert control.request(**ask, now=3.1) is not None
