--- a/tanagerspoke/commands/apply.py
+++ b/tanagerspoke/commands/apply.py
@@ -46,24 +46,33 @@
             f"({outcome.changed} items changed)"
         )
         if wait:
-            await _wait(client, outcome.revision, wait_timeout_s)
-            print(f"revision {outcome.revision} is in force on every live node")
+            count = await _wait(client, outcome.revision, wait_timeout_s)
+            print(
+                f"revision {outcome.revision} is in force on all "
+                f"{count} live entry hosts"
+            )
         return outcome
 
     session.run(settings=settings, job=job)
 
 
-async def _wait(
-    client: nodes.Platform, revision: int, timeout_s: float
-) -> None:
+async def _wait(client: nodes.Platform, revision: int, timeout_s: float) -> int:
+    """Returns the number of entry hosts that have the revision in force.
+
+    Raises:
+        PlatformError: some have not, or none is known, in time.
+    """
     until = time.monotonic() + timeout_s
     while True:
+        lagging = ["any host, since none is listed or reports"]
         try:
-            lagging = await _lagging(client, revision)
+            live = await _live(client)
+            if live:
+                lagging = [n.host for n in live if not n.has(revision)]
         except exceptions.PlatformError as exc:
             lagging = [f"unknown, {exc}"]
         if not lagging:
-            return
+            return len(live)
         if time.monotonic() > until:
             raise exceptions.PlatformError(
                 f"revision {revision} is committed, but after {timeout_s} s "
@@ -72,10 +81,5 @@
         await asyncio.sleep(_POLL_INTERVAL_S)
 
 
-async def _lagging(client: nodes.Platform, revision: int) -> list[str]:
-    found = await nodes.read(client)
-    return [
-        node.host
-        for node in found
-        if node.listing != "leaving" and not node.has(revision)
-    ]
+async def _live(client: nodes.Platform) -> list[nodes.Node]:
+    return [n for n in await nodes.read(client) if n.listing != "leaving"]
--- a/tanagerspoke/commands/commits.py
+++ b/tanagerspoke/commands/commits.py
@@ -140,10 +140,16 @@
                 await pause.wait()
                 continue
             differing = changes.compare(state=state, desired=desired)
-            _refuse_conflicts(differing)
             if not differing:
                 return seen(state, desired)
-            changes.check(state=state, changes=differing)
+            try:
+                _refuse_conflicts(differing)
+                changes.check(state=state, changes=differing)
+            except (changes.ConflictError, exceptions.DeclarationError):
+                if await self._is_current(state):
+                    raise
+                await pause.wait()
+                continue
             head, transaction = changes.transaction(
                 state=state,
                 changes=differing,
@@ -158,6 +164,28 @@
             "operators; nothing was changed; try again"
         )
 
+    async def _is_current(self, state: changes.TableState) -> bool:
+        """Whether the head that was read still stands.
+
+        A refusal must not rest on a stale read; the condition of a
+        transaction never does.
+        """
+        condition: platform.Condition = platform.Absent()
+        if state.head is not None:
+            condition = platform.VersionIs(version=state.head_version)
+        check = platform.Operation(
+            key=revisions.HEAD_KEY,
+            condition=condition,
+            write=platform.Check(),
+        )
+        try:
+            reply = await self._table.transact(
+                platform.Transaction(operations=(check,))
+            )
+        except exceptions.PlatformError:
+            return False
+        return isinstance(reply, platform.Committed)
+
     async def _submit(
         self, head: revisions.Head, transaction: platform.Transaction
     ) -> bool:
