--- /dev/null
+++ b/tests/processes/test_configuration.py
@@ -0,0 +1,212 @@
+"""Configuration with real agents, gateways and the operator program."""
+
+import asyncio
+import json
+import pathlib
+import shutil
+import signal
+
+import pytest
+
+from tests import stack as stacks
+
+
+@pytest.fixture
+def directory(tmp_path: pathlib.Path) -> pathlib.Path:
+    """A copy of declarations that a test may change."""
+    return pathlib.Path(
+        shutil.copytree(
+            stacks.EXAMPLES / "hverasel",
+            tmp_path / "hverasel",
+            ignore=shutil.ignore_patterns("*.lock.json"),
+        )
+    )
+
+
+def _set_parameters(
+    directory: pathlib.Path, name: str, **parameters: float
+) -> None:
+    path = directory / f"{name}.json"
+    content = json.loads(path.read_text())
+    content["parameters"] = {
+        key.replace("_", "-"): value for key, value in parameters.items()
+    }
+    path.write_text(json.dumps(content))
+
+
+async def _revisions(stack: stacks.Stack) -> dict[str, object]:
+    _, body = await stack.get(stack.platform_port, "/table/scan?prefix=status/")
+    rows = json.loads(body)["rows"]
+    return {row["key"]: json.loads(row["value"]) for row in rows}
+
+
+async def test_change_is_in_force_everywhere(
+    stack: stacks.Stack, directory: pathlib.Path
+) -> None:
+    """Guards against a change that misses an agent or a gateway."""
+    for host in ("entry-1", "entry-2"):
+        await stack.add_agent(host)
+        await stack.register_entry(host)
+        await stack.add_gateway(host)
+    code, output = await stack.ctl(
+        "apply", str(directory), "--wait", "--wait-timeout-s", "40"
+    )
+    assert code == 0, output
+    status = await _revisions(stack)
+    assert status["status/entry-1"]["gateways"] == {"entry-1-1": 1}
+
+    code, output = await stack.ctl("apply", str(directory))
+    assert (code, "revision 1 " in output) == (0, True), output
+    (directory / "north-tours.json").unlink()
+    code, output = await stack.ctl(
+        "apply", str(directory), "--prune", "--wait", "--wait-timeout-s", "40"
+    )
+    assert code == 0, output
+    status, _, body = await stack.call(
+        "/booking/x", client_account="north-tours"
+    )
+    assert status == 404
+    assert json.loads(body)["error"]["code"] == "unknown_client_account"
+    code, output = await stack.ctl("status")
+    assert output.count("agent revision 2") == 2, output
+
+
+async def test_conflict_changes_nothing(
+    stack: stacks.Stack, directory: pathlib.Path, tmp_path: pathlib.Path
+) -> None:
+    """Guards against overwriting another operator's change."""
+    assert (await stack.ctl("apply", str(directory)))[0] == 0
+    other = pathlib.Path(shutil.copytree(directory, tmp_path / "other"))
+    account = json.loads((other / "north-tours.json").read_text())
+    account["token_sha256"] = "a" * 64
+    (other / "north-tours.json").write_text(json.dumps(account))
+    assert (await stack.ctl("apply", str(other)))[0] == 0
+    account["token_sha256"] = "b" * 64
+    (directory / "north-tours.json").write_text(json.dumps(account))
+
+    code, output = await stack.ctl("apply", str(directory))
+    assert code == 3, output
+    assert "a" * 64 in output
+    assert "b" * 64 in output
+    assert "head: revision 2" in (await stack.ctl("status"))[1]
+
+    code, output = await stack.ctl("diff", str(directory), "--mark-seen")
+    assert code == 0, output
+    assert (await stack.ctl("apply", str(directory)))[0] == 0
+
+
+async def test_frozen_agent_and_malformed_row(
+    stack: stacks.Stack, directory: pathlib.Path
+) -> None:
+    """Guards against an agent that a pause or a malformed item stops."""
+    agent = await stack.add_agent("entry-1")
+    await stack.register_entry("entry-1")
+    assert (
+        await stack.ctl(
+            "apply", str(directory), "--wait", "--wait-timeout-s", "40"
+        )
+    )[0] == 0
+    agent.send(signal.SIGSTOP)
+    (directory / "north-tours.json").unlink()
+    assert (await stack.ctl("apply", str(directory), "--prune"))[0] == 0
+    agent.send(signal.SIGCONT)
+    await _wait_revision(stack, 2)
+
+    await _put_malformed(stack, revision=3)
+
+    async def reported() -> bool:
+        status = (await _revisions(stack))["status/entry-1"]
+        return status["revision"] == 2 and "broken" in status["problem"]
+
+    await stacks.wait_until(reported, "the malformed revision to be reported")
+    assert agent.poll() is None
+
+
+async def test_deleted_account_finishes_its_pull(
+    stack: stacks.Stack, directory: pathlib.Path
+) -> None:
+    """Guards against a pull that a deleted client account cuts off."""
+    await stack.add_upstream("p", "partner-availability", pull_ms=8000.0)
+    await stack.add_agent("entry-1")
+    await stack.add_gateway("entry-1")
+    assert (await stack.ctl("apply", str(directory)))[0] == 0
+
+    async def call() -> tuple[int, int]:
+        path = "/partner-availability/pull/x"
+        status, _, body = await stack.call(path, client_account="north-tours")
+        return status, len(body)
+
+    async def running() -> bool:
+        task = asyncio.create_task(call())
+        done, _ = await asyncio.wait({task}, timeout=1.0)
+        pulls.append(task)
+        return not done
+
+    pulls: list[asyncio.Task[tuple[int, int]]] = []
+    await stacks.wait_until(running, "a pull to run")
+    (directory / "north-tours.json").unlink()
+    assert (await stack.ctl("apply", str(directory), "--prune"))[0] == 0
+    await _wait_revision(stack, 2)
+    assert not pulls[-1].done()
+    assert await pulls[-1] == (200, 40 * 4096)
+    assert (await call())[0] == 404
+
+
+async def _wait_revision(stack: stacks.Stack, revision: int) -> None:
+    async def in_force() -> bool:
+        status = (await _revisions(stack)).get("status/entry-1", {})
+        return status.get("revision") == revision
+
+    await stacks.wait_until(in_force, f"revision {revision} in force")
+
+
+async def _put_malformed(stack: stacks.Stack, *, revision: int) -> None:
+    assert stack.http is not None
+    item = {"kind": "template", "name": "broken", "body": "{not json"}
+    change = {"revision": revision, "change_id": "x", "author": "x"}
+    rows = {
+        "config/head": change,
+        f"config/log/{revision:012d}": change | {"items": [item]},
+        "config/item/template/broken": {"revision": revision, "item": item},
+    }
+    operations = [
+        {
+            "key": key,
+            "condition": {"type": "always"},
+            "write": {"type": "put", "value": json.dumps(value)},
+        }
+        for key, value in rows.items()
+    ]
+    url = f"http://127.0.0.1:{stack.platform_port}/table/transact"
+    async with stack.http.post(url, json={"operations": operations}) as resp:
+        assert resp.status == 200
+
+
+async def test_restart_with_the_table_down_takes_a_peer_snapshot(
+    stack: stacks.Stack, directory: pathlib.Path
+) -> None:
+    """Guards against a restarted agent that needs the table."""
+    await stack.add_agent("entry-1")
+    await stack.register_entry("entry-1")
+    second = await stack.add_agent("entry-2")
+    await stack.register_entry("entry-2")
+    assert (
+        await stack.ctl(
+            "apply", str(directory), "--wait", "--wait-timeout-s", "40"
+        )
+    )[0] == 0
+    # The host list goes down with the table, so the survivor, which still
+    # holds the last list, has to contact the restarted agent.
+    await _wait_peers(stack, "agent-entry-1", 1)
+    second.kill()
+    stack["platform"].kill()
+    second.start()
+    await stack.wait_ready("agent-entry-2")
+
+
+async def _wait_peers(stack: stacks.Stack, name: str, count: int) -> None:
+    async def known() -> bool:
+        _, body = await stack.get(stack.admin_ports[name], "/metrics")
+        return f"tanagerspoke_peers {float(count)}".encode() in body
+
+    await stacks.wait_until(known, f"{name} to know {count} peers")
--- a/tests/stack.py
+++ b/tests/stack.py
@@ -112,6 +112,7 @@
         self.platform_port = free_port()
         self.caller_port = free_port()
         self.agent_ports: dict[str, int] = {}
+        self.peer_ports: dict[str, int] = {}
         self.admin_ports: dict[str, int] = {}
         self.upstream_ports: dict[str, int] = {}
 
@@ -174,6 +175,7 @@
         """Starts the agent of a host."""
         name = f"agent-{host}"
         self.agent_ports[host] = free_port()
+        self.peer_ports[host] = free_port()
         self.admin_ports[name] = free_port()
         process = self.run(
             name,
@@ -181,7 +183,7 @@
             {
                 "place": place(host),
                 "gateways": endpoint(self.agent_ports[host]),
-                "peers": endpoint(free_port()),
+                "peers": endpoint(self.peer_ports[host]),
                 "admin": endpoint(self.admin_ports[name]),
                 "platform": endpoint(self.platform_port),
                 "shared_key": SHARED_KEY,
@@ -192,6 +194,20 @@
         await self.wait_http(self.admin_ports[name], "/healthz")
         return process
 
+    async def register_entry(self, host: str, port: int | None = None) -> None:
+        """Puts an entry host into the platform's host list."""
+        entry = place(host) | {
+            "name": host,
+            "role": "entry",
+            "address": "127.0.0.1",
+            "port": port or self.peer_ports[host],
+        }
+        del entry["host"]
+        assert self.http is not None
+        url = f"http://127.0.0.1:{self.platform_port}/control/hosts/{host}"
+        async with self.http.put(url, json=entry) as resp:
+            assert resp.status == 204
+
     async def add_gateway(
         self, host: str, number: int = 1, **settings: Any
     ) -> Process:
