Test an agent whose revision log is wholly trimmed

The state machine did not notice when empty log reads were not counted; this case fails then (pytest tests/coordination/test_configuration.py -k trimmed).

--- a/tests/coordination/test_configuration.py
+++ b/tests/coordination/test_configuration.py
@@ -259,3 +259,14 @@
 
 
 TestConfigurationMachine = ConfigurationMachine.TestCase
+
+
+def test_wholly_trimmed_log() -> None:
+    """Guards against an agent that waits for entries that are gone."""
+    machine = ConfigurationMachine()
+    machine.commit(names=["a"], kind="put")
+    machine.step(number=0, steps=[(0, 0)] * 4)
+    assert machine.followers[0].machine.in_force.revision == 1
+    machine.commit(names=["a"], kind="put")
+    machine.trim_log(keep=0)
+    machine.teardown()
