--- a/tanagerspoke/transport/caller_protocol.py
+++ b/tanagerspoke/transport/caller_protocol.py
@@ -53,8 +53,8 @@
 
     def __init__(
         self,
-        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         *,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         max_header_bytes: int,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
--- a/tanagerspoke/transport/caller_server.py
+++ b/tanagerspoke/transport/caller_server.py
@@ -60,6 +60,7 @@
     """What is known of a call; filled in while it runs.
 
     Attributes:
+        is_limited: whether the client account's limits count the call.
         dispatched: whether an upstream may have received the call.
         route: None where the request was refused before it was routed.
         deadline: monotonic seconds, None before the call was routed.
@@ -71,6 +72,7 @@
     client_account: str
     service: str
     started_at: float
+    is_limited: bool = False
     dispatched: bool = False
     route: config.Route | None = None
     deadline: float | None = None
@@ -150,7 +152,8 @@
     async def start(self) -> None:
         """Opens the caller port, shared with the host's other gateways."""
         self._http = caller_protocol.CallerHttpServer(
-            self._handle, max_header_bytes=self._cfg.max_header_bytes
+            handler=self._handle,
+            max_header_bytes=self._cfg.max_header_bytes,
         )
         self._runner = web.ServerRunner(self._http, shutdown_timeout=0.1)
         await self._runner.setup()
--- a/tanagerspoke/transport/claim_service.py
+++ b/tanagerspoke/transport/claim_service.py
@@ -11,7 +11,6 @@
 import uuid
 
 import mode
-import prometheus_client
 
 from tanagerspoke import exceptions
 from tanagerspoke.coordination import claims
@@ -58,42 +57,6 @@
         """Does nothing."""
 
 
-class PrometheusMetrics:
-    """Claim metrics in a prometheus registry."""
-
-    def __init__(self, *, registry: prometheus_client.CollectorRegistry):
-        self._claims = prometheus_client.Counter(
-            "tanagerspoke_claims",
-            "Answered claims on writes.",
-            ("result",),
-            registry=registry,
-        )
-        self._group_rows = prometheus_client.Histogram(
-            "tanagerspoke_claim_group_rows",
-            "Rows of one claim transaction.",
-            buckets=(1, 2, 4, 8, 16, 32, 64, 128, 256),
-            registry=registry,
-        )
-        self._errors = prometheus_client.Counter(
-            "tanagerspoke_platform_errors",
-            "Operations of the platform without a valid answer.",
-            ("operation",),
-            registry=registry,
-        )
-
-    def count_claim(self, result: str) -> None:
-        """Counts an answered claim."""
-        self._claims.labels(result).inc()
-
-    def observe_group(self, rows: int) -> None:
-        """Notes the number of rows of a transaction."""
-        self._group_rows.observe(rows)
-
-    def count_platform_error(self, operation: str) -> None:
-        """Counts an operation of the platform that failed."""
-        self._errors.labels(operation).inc()
-
-
 class ClaimService(mode.Service):
     """Carries out what the claim protocol decides."""
 
--- a/tanagerspoke/transport/dispatcher.py
+++ b/tanagerspoke/transport/dispatcher.py
@@ -106,6 +106,14 @@
             for r in self._running.values()
         )
 
+    def would_refuse(self, call: calls.Call) -> calls.Refuse | None:
+        """Returns the refusal that the call would get now, or None."""
+        return self._scheduler.would_refuse(call=call, now=self._clock())
+
+    def set_gateways(self, gateways: int) -> None:
+        """Takes the number of live gateways that share the upstreams."""
+        self._scheduler.set_gateways(gateways)
+
     def set_upstreams(self, changed: tuple[upstreams.Upstream, ...]) -> None:
         """Takes the whole list of the service's upstreams."""
         self._upstreams = {u.upstream_id: u for u in changed}
--- a/tanagerspoke/transport/gateway_service.py
+++ b/tanagerspoke/transport/gateway_service.py
@@ -13,6 +13,7 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.coordination import lifecycle
+from tanagerspoke.coordination import limits
 from tanagerspoke.coordination import scheduling
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import calls
@@ -48,6 +49,7 @@
         self._upstreams: dict[str, tuple[upstreams.Upstream, ...]] = {}
         self._service_of: dict[str, str] = {}
         self._gateways = 1
+        self._limiters: dict[str, limits.AccountLimiter] = {}
         self._rng = random.Random()
         self._registry = prometheus_client.CollectorRegistry()
         self._metrics = metrics.GatewayMetrics(registry=self._registry)
@@ -57,14 +59,16 @@
             on_lost=self._metrics.count_lost,
         )
         self._agent = grpc_agent.AgentClient(
-            endpoint=cfg.agent, shared_key=cfg.shared_key
+            endpoint=cfg.agent, shared_key=cfg.shared_key, tls=cfg.tls
         )
         self._link = agent_link.AgentLink(
             gateway_id=cfg.gateway_id,
             client=self._agent,
             on_update=self._take,
         )
-        self._keyed_writes = keyed_writes.KeyedWrites(agent_client=self._agent)
+        self._keyed_writes = keyed_writes.KeyedWrites(
+            agent_client=self._agent, precheck=self._precheck
+        )
         self._server = caller_server.CallerServer(
             cfg=cfg,
             serve=self.serve,
@@ -119,6 +123,10 @@
 
     def _end_call(self, record: caller_server.CallRecord) -> None:
         self._metrics.count_call(record)
+        if record.is_limited:
+            self._limiters[record.service].leave(
+                client_account=record.client_account
+            )
         self._planned_stop.call_ended(record.call_id)
 
     async def on_stop(self) -> None:
@@ -156,7 +164,7 @@
                 for report in reports:
                     self._take_load(report)
             case agent.FleetUpdate(gateways=gateways):
-                self._gateways = max(1, gateways)
+                self._take_gateways(gateways)
 
     def _take_load(self, report: agent.ProbedLoad) -> None:
         name = self._service_of.get(report.upstream_id)
@@ -168,6 +176,13 @@
                 )
             )
 
+    def _take_gateways(self, gateways: int) -> None:
+        self._gateways = max(1, gateways)
+        for service in self._dispatchers.values():
+            service.set_gateways(self._gateways)
+        for limiter in self._limiters.values():
+            limiter.set_gateways(self._gateways)
+
     def _take_upstreams(self, listed: tuple[upstreams.Upstream, ...]) -> None:
         by_service: dict[str, list[upstreams.Upstream]] = (
             collections.defaultdict(list)
@@ -191,6 +206,7 @@
                 availability_zone=self._cfg.place.availability_zone,
                 pull_slot_share=policy.pull_slot_share,
                 rng=self._rng,
+                gateways=self._gateways,
             ),
             client=self._client,
             clock=time.monotonic,
@@ -239,7 +255,10 @@
         if request.deadline_s is not None:
             deadline_s = min(deadline_s, request.deadline_s)
         record.deadline = record.started_at + deadline_s
-        self._check_limits(account, request.service, found.limits)
+        self._enter_limits(record, found.limits)
+        # Made before a claim is awaited, since the service may be deleted
+        # from the configuration meanwhile.
+        self._dispatcher(request.service)
         call = calls.Call(
             call_id=record.call_id,
             client_account=account.name,
@@ -255,10 +274,39 @@
             call=call, request=request, route=route, dispatch=self._run
         )
 
-    def _check_limits(
-        self, account: config.Account, service: str, limits: config.Limits
+    def _enter_limits(
+        self, record: caller_server.CallRecord, declared: config.Limits
     ) -> None:
-        """Call site of the client account limits (coordination/limits.py)."""
+        """Counts the call in; it is counted out when it ends.
+
+        Raises:
+            CallRefusedError: the client account is at one of its limits.
+        """
+        if declared.rate_per_s is None and declared.concurrency is None:
+            return
+        limiter = self._limiters.get(record.service)
+        if limiter is None:
+            limiter = limits.AccountLimiter(gateways=self._gateways)
+            self._limiters[record.service] = limiter
+        limited = limiter.enter(
+            client_account=record.client_account,
+            rate_per_s=declared.rate_per_s,
+            concurrency=declared.concurrency,
+            now=time.monotonic(),
+        )
+        if limited is not None:
+            raise exceptions.CallRefusedError(
+                code=limited.code,
+                message=f"client account {record.client_account!r} is at its "
+                f"limit for service {record.service!r}",
+                retry_after_s=limited.retry_after_s,
+            )
+        record.is_limited = True
+
+    def _precheck(
+        self, call: calls.Call, request: caller_server.CallerRequest
+    ) -> calls.Refuse | None:
+        return self._dispatcher(request.service).would_refuse(call)
 
     async def _run(
         self, call: calls.Call, request: caller_server.CallerRequest
--- a/tanagerspoke/transport/metrics.py
+++ b/tanagerspoke/transport/metrics.py
@@ -47,6 +47,7 @@
 
     def __init__(
         self,
+        *,
         owner: "GatewayMetrics",
         client_account: str,
         service: str,
@@ -201,7 +202,12 @@
         key = (client_account, service, call_class)
         account = self._accounts.get(key)
         if account is None:
-            account = self._accounts[key] = _Account(self, *key)
+            account = self._accounts[key] = _Account(
+                owner=self,
+                client_account=key[0],
+                service=key[1],
+                call_class=key[2],
+            )
         child = account.by_code.get(code)
         if child is None:
             child = account.by_code[code] = account.calls(code)
--- a/tests/stack.py
+++ b/tests/stack.py
@@ -140,6 +140,7 @@
         self.caller_port = free_port()
         self.caller_ports: dict[str, int] = {}
         self.agent_ports: dict[str, int] = {}
+        self.peer_ports: dict[str, int] = {}
         self.admin_ports: dict[str, int] = {}
         self.upstream_ports: dict[str, int] = {}
 
@@ -235,15 +236,15 @@
         """Starts the agent of a host and lists the host at the platform."""
         name = f"agent-{host}"
         self.agent_ports.setdefault(host, free_port())
+        self.peer_ports.setdefault(host, free_port())
         self.admin_ports[name] = free_port()
-        peers = endpoint(free_port())
         process = self.run(
             name,
             ["tanagerspoke-agent"],
             {
                 "place": place(host),
                 "gateways": endpoint(self.agent_ports[host]),
-                "peers": peers,
+                "peers": endpoint(self.peer_ports[host]),
                 "admin": endpoint(self.admin_ports[name]),
                 "platform": endpoint(self.platform_port),
                 "shared_key": SHARED_KEY,
@@ -251,9 +252,7 @@
             }
             | settings,
         )
-        await self.list_host(
-            {"name": host, "role": "entry", "availability_zone": "az-a"} | peers
-        )
+        await self.register_entry(host)
         await self.wait_http(self.admin_ports[name], "/healthz")
         return process
 
@@ -263,6 +262,16 @@
             self.platform_port, f"/control/hosts/{entry['name']}", entry
         )
 
+    async def register_entry(self, host: str, port: int | None = None) -> None:
+        """Puts an entry host into the platform's host list."""
+        entry = place(host) | {
+            "name": host,
+            "role": "entry",
+            **endpoint(port or self.peer_ports[host]),
+        }
+        del entry["host"]
+        await self.list_host(entry)
+
     async def add_gateway(
         self, host: str, number: int = 1, **settings: Any
     ) -> Process:
--- a/tests/test_house_style.py
+++ b/tests/test_house_style.py
@@ -23,6 +23,9 @@
     "tanagerspoke/coordination/scheduling.py:_CallState": (
         "a call on its way, which its scheduler alone owns and changes"
     ),
+    "tanagerspoke/transport/caller_server.py:CallRecord": (
+        "filled in by the one task that serves the call"
+    ),
     "tanagerspoke/transport/dispatcher.py:_Running": (
         "attempts of one call, which its dispatcher alone owns and changes"
     ),
--- a/tests/transport/test_claim_service.py
+++ b/tests/transport/test_claim_service.py
@@ -3,13 +3,13 @@
 import asyncio
 import time
 
-import prometheus_client
 import pytest
 
 from tanagerspoke import exceptions
 from tanagerspoke.protocol import agent
 from tanagerspoke.settings import options
 from tanagerspoke.standins import table as standin
+from tanagerspoke.transport import agent_metrics
 from tanagerspoke.transport import claim_service
 
 
@@ -66,12 +66,12 @@
     )
 
 
-def _service(platform, registry=None) -> claim_service.ClaimService:
-    registry = registry or prometheus_client.CollectorRegistry()
+def _service(platform, metrics=None) -> claim_service.ClaimService:
+    metrics = metrics or agent_metrics.AgentMetrics()
     return claim_service.ClaimService(
         cfg=options.Store(writes_per_s=1_000.0),
         platform=platform,
-        metrics=claim_service.PrometheusMetrics(registry=registry),
+        metrics=metrics,
     )
 
 
@@ -79,8 +79,8 @@
 async def test_replays_the_answer_byte_for_byte(size: int) -> None:
     """Guards against a large answer that is cut or lost."""
     platform = FakePlatform()
-    registry = prometheus_client.CollectorRegistry()
-    service = _service(platform, registry)
+    metrics = agent_metrics.AgentMetrics()
+    service = _service(platform, metrics)
     platform.lose_answers = 1
     assert await service.claim(_claim("one")) == agent.Granted()
     body = bytes(range(256)) * (size // 256 + 1)
@@ -91,7 +91,7 @@
         status=201, headers=headers, body=body
     )
     assert len(platform.objects) == (size > 8_192)
-    value = registry.get_sample_value
+    value = metrics.registry.get_sample_value
     for result in ("granted", "replay"):
         labels = {"result": result}
         assert value("tanagerspoke_claims_total", labels) == 1.0
