--- a/tanagerspoke/commands/apply.py
+++ b/tanagerspoke/commands/apply.py
@@ -37,7 +37,7 @@
     async def job(
         cfg: options.Ctl, client: platform_client.PlatformClient
     ) -> commits.Outcome:
-        workspace = session.Workspace(directories)
+        workspace = session.Workspace(directories=directories)
         committer = commits.Committer(table=client, author=cfg.author)
         outcome = await committer.commit(workspace.desired(prune=prune))
         workspace.remember(outcome, prune=prune)
--- a/tanagerspoke/commands/diff.py
+++ b/tanagerspoke/commands/diff.py
@@ -32,7 +32,7 @@
         cfg: options.Ctl, client: platform_client.PlatformClient
     ) -> bool:
         del cfg
-        workspace = session.Workspace(directories)
+        workspace = session.Workspace(directories=directories)
         desired = workspace.desired(prune=prune)
         state = await commits.read_state(client)
         differing = changes.compare(state=state, desired=desired)
--- a/tanagerspoke/commands/lock.py
+++ b/tanagerspoke/commands/lock.py
@@ -9,7 +9,9 @@
 FILE_NAME = "tanagerspoke.lock.json"
 
 
-class Lock(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+class Lock(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Content of the lock file.
 
     Attributes:
--- a/tanagerspoke/commands/session.py
+++ b/tanagerspoke/commands/session.py
@@ -46,7 +46,7 @@
         DeclarationError: with every error of every file.
     """
 
-    def __init__(self, directories: Iterable[pathlib.Path]) -> None:
+    def __init__(self, *, directories: Iterable[pathlib.Path]) -> None:
         self._directories = tuple(directories)
         # A template may be in the table only; `changes.check` looks there.
         self._sources = declared.read_directories(
--- a/tanagerspoke/protocol/headers.py
+++ b/tanagerspoke/protocol/headers.py
@@ -10,6 +10,7 @@
 LOAD = "Tanagerspoke-Load"
 OUTCOME = "Tanagerspoke-Outcome"
 RETRY = "Tanagerspoke-Retry"
+REPEAT = "Tanagerspoke-Repeat"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 
 # Set by the system only; removed from the requests of callers.
--- a/tanagerspoke/transport/caller_protocol.py
+++ b/tanagerspoke/transport/caller_protocol.py
@@ -73,7 +73,11 @@
 
 
 def error_body(
-    *, code: errors.ErrorCode, message: str, request_id: str
+    *,
+    code: errors.ErrorCode,
+    outcome: errors.Outcome,
+    message: str,
+    request_id: str,
 ) -> bytes:
     """Returns the JSON body of an error."""
     return msgspec.json.encode(
@@ -81,7 +85,7 @@
             error=errors.ErrorDetail(
                 code=code,
                 message=message,
-                outcome=errors.outcome_of(code),
+                outcome=outcome,
                 request_id=request_id,
             )
         )
@@ -91,6 +95,7 @@
 def error_headers(
     *,
     code: errors.ErrorCode,
+    outcome: errors.Outcome,
     request_id: str,
     retry_after_s: float | None,
 ) -> tuple[tuple[str, str], ...]:
@@ -99,7 +104,7 @@
         ("Content-Type", "application/json"),
         ("Date", email.utils.formatdate(usegmt=True)),
         (headers.REQUEST_ID, request_id),
-        (headers.OUTCOME, errors.outcome_of(code).value),
+        (headers.OUTCOME, outcome.value),
     ]
     if code is errors.ErrorCode.OUTCOME_UNKNOWN:
         found.append((headers.RETRY, "no"))
@@ -116,11 +121,19 @@
     *, code: errors.ErrorCode, message: str, request_id: str
 ) -> web.Response:
     """Returns a JSON error that closes the connection."""
+    outcome = errors.outcome_of(code)
     resp = web.Response(
         status=errors.status_of(code),
-        body=error_body(code=code, message=message, request_id=request_id),
+        body=error_body(
+            code=code, outcome=outcome, message=message, request_id=request_id
+        ),
         headers=dict(
-            error_headers(code=code, request_id=request_id, retry_after_s=None)
+            error_headers(
+                code=code,
+                outcome=outcome,
+                request_id=request_id,
+                retry_after_s=None,
+            )
         ),
     )
     resp.force_close()
--- a/tanagerspoke/transport/caller_server.py
+++ b/tanagerspoke/transport/caller_server.py
@@ -30,6 +30,7 @@
     for name in (
         *headers.RESERVED,
         headers.CLIENT_ACCOUNT,
+        headers.REPEAT,
         headers.DEADLINE_MS,
         headers.DEPTH,
         "Host",
@@ -61,6 +62,8 @@
 
     Attributes:
         is_limited: whether the client account's limits count the call.
+        earlier_may_have_run: whether the caller sent the key before and the
+            claim has not yet shown that no earlier request ran.
         dispatched: whether an upstream may have received the call.
         route: None where the request was refused before it was routed.
         deadline: monotonic seconds, None before the call was routed.
@@ -73,6 +76,7 @@
     service: str
     started_at: float
     is_limited: bool = False
+    earlier_may_have_run: bool = False
     dispatched: bool = False
     route: config.Route | None = None
     deadline: float | None = None
@@ -249,6 +253,7 @@
                 message="the request target must be a path",
             )
         record.service, _, rest = path[1:].partition("/")
+        record.earlier_may_have_run = _is_repeat(req)
         return CallerRequest(
             request_id=record.request_id,
             client_account=record.client_account,
@@ -316,11 +321,20 @@
     ) -> _Written:
         record.code = code.value
         record.status = errors.status_of(code)
+        outcome = errors.outcome_of(code)
+        if outcome is errors.Outcome.NOT_RUN and record.earlier_may_have_run:
+            # This request did not run, but an earlier one of its key may
+            # have: "not run" would invite a second booking.
+            outcome = errors.Outcome.UNKNOWN
         body = caller_protocol.error_body(
-            code=code, message=message, request_id=record.request_id
+            code=code,
+            outcome=outcome,
+            message=message,
+            request_id=record.request_id,
         )
         found = caller_protocol.error_headers(
             code=code,
+            outcome=outcome,
             request_id=record.request_id,
             retry_after_s=retry_after_s,
         )
@@ -492,6 +506,10 @@
     return int(value)
 
 
+def _is_repeat(req: web.BaseRequest) -> bool:
+    return req.headers.get(headers.REPEAT, "").lower() == "yes"
+
+
 def _key(req: web.BaseRequest) -> str | None:
     value = req.headers.get(headers.IDEMPOTENCY_KEY)
     if value is None:
--- a/tanagerspoke/transport/keyed_writes.py
+++ b/tanagerspoke/transport/keyed_writes.py
@@ -115,6 +115,9 @@
         replayed = await self._claim(claim, call)
         if replayed is not None:
             return replayed
+        if request.record is not None:
+            # A granted claim proves that no earlier request of the key ran.
+            request.record.earlier_may_have_run = False
         # The process may have been paused while the claim was under way.
         if self._clock() >= call.deadline:
             self._record(claim, agent.NotRun())
--- a/tests/commands/test_commits.py
+++ b/tests/commands/test_commits.py
@@ -14,7 +14,7 @@
 from tanagerspoke.commands import commits
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import platform
-from tanagerspoke.standins import platform as standin
+from tanagerspoke.standins import table as standin
 from tanagerspoke.state import revisions
 
 _TEMPLATE = agent.Item(
@@ -71,14 +71,14 @@
 
     async def get(self, key: str) -> platform.Row | None:
         await asyncio.sleep(0)
-        return self._reading().get(key, now=0.0)
+        return self._reading().get(key, at=0.0)
 
     async def scan(
         self, *, prefix: str, after: str = "", limit: int = 500
     ) -> platform.ScanReply:
         await asyncio.sleep(0)
         return self._reading().scan(
-            prefix=prefix, after=after, limit=limit, now=0.0
+            prefix=prefix, after=after, limit=limit, at=0.0
         )
 
     async def transact(
@@ -119,11 +119,11 @@
 
 async def _check_history(table: FaultyTable) -> revisions.Head:
     """Replays the log: it must give exactly the items, once each."""
-    state = await commits.read_state(FaultyTableView(table))
+    state = await commits.read_state(FaultyTableView(table=table))
     items: dict[str, agent.Item] = {}
     ids = set()
     for revision in range(1, state.head.revision + 1):
-        row = table.table.get(revisions.log_key(revision), now=0.0)
+        row = table.table.get(revisions.log_key(revision), at=0.0)
         change = revisions.decode_change(row.value)
         ids.add(change.change_id)
         for item in change.items:
@@ -139,7 +139,7 @@
 class FaultyTableView(FaultyTable):
     """Reads of the table without faults."""
 
-    def __init__(self, table: FaultyTable) -> None:
+    def __init__(self, *, table: FaultyTable) -> None:
         super().__init__(seed=0)
         self.table = table.table
 
@@ -157,7 +157,7 @@
 
 async def _run_operators(seed: int, lose: float, stale: float) -> None:
     table = FaultyTable(seed=seed, lose=lose, stale=stale)
-    await _commit(FaultyTableView(table), "first", [_TEMPLATE])
+    await _commit(FaultyTableView(table=table), "first", [_TEMPLATE])
 
     async def operate(name: str) -> int:
         """Changes an account of its own three times."""
@@ -176,7 +176,7 @@
     names = ("a", "b", "c")
     accepted = await asyncio.gather(*(operate(name) for name in names))
     await _check_history(table)
-    state = await commits.read_state(FaultyTableView(table))
+    state = await commits.read_state(FaultyTableView(table=table))
     for name, x in zip(names, accepted, strict=True):
         row = state.items.get(f"client_account/{name}")
         if x:
--- a/tests/processes/test_claims_outage.py
+++ b/tests/processes/test_claims_outage.py
@@ -26,12 +26,17 @@
     await stacks.wait_until(serves, "the upstream list to reach the gateway")
 
 
-async def _book(stack: stacks.Stack, key: str) -> tuple[str, str]:
+async def _book(
+    stack: stacks.Stack, key: str, *, repeat: bool = False
+) -> tuple[str, str]:
     """Returns outcome and error code of a booking."""
+    sent = {"Idempotency-Key": key}
+    if repeat:
+        sent["Tanagerspoke-Repeat"] = "yes"
     status, headers, body = await stack.call(
         "/booking/bookings",
         method="POST",
-        headers={"Idempotency-Key": key},
+        headers=sent,
         body=b"lockers",
     )
     code = "" if status == 200 else json.loads(body)["error"]["code"]
@@ -71,6 +76,18 @@
     await stacks.wait_until(replayed, "the outcome record")
 
 
+async def test_refused_repeat_of_a_write_that_ran_is_unknown(
+    stack: stacks.Stack,
+) -> None:
+    """Guards against "not run" for a key whose earlier request ran."""
+    await _start(stack)
+    assert await _book(stack, "key-1") == ("ran", "")
+    stack["platform"].send(signal.SIGSTOP)
+    refused = await _book(stack, "key-1", repeat=True)
+    assert refused == ("unknown", "store_unavailable")
+    stack["platform"].send(signal.SIGCONT)
+
+
 async def test_killed_agent_refuses_writes_only(stack: stacks.Stack) -> None:
     """Guards against writes that hang and lookups that need the agent."""
     await _start(stack)
--- a/tests/test_house_style.py
+++ b/tests/test_house_style.py
@@ -11,6 +11,12 @@
 
 # Data classes that are not frozen, each with the reason.
 _MUTABLE = {
+    "tanagerspoke/coordination/budget.py:Spending": (
+        "counters of what the budget's owner spent"
+    ),
+    "tanagerspoke/coordination/probing.py:_Watched": (
+        "what the prober alone remembers of an upstream"
+    ),
     "tanagerspoke/coordination/claims.py:_Claim": (
         "a claim on its way, which its protocol alone owns and changes"
     ),
