End a program when one of its tasks fails

Cause: a failed task marks its mode service as crashed, but the programs waited for a signal only and lived on without that task's work. Found by reading and confirmed with a service whose task raises: before the change the test did not end within 20 s. Change: the programs wait for the signal or the crash, log task_failed, close and exit with 1, so that a supervisor restarts them.

--- a/tanagerspoke/commands/program.py
+++ b/tanagerspoke/commands/program.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import logging
 import pathlib
 import signal
 import sys
 from typing import Any, Protocol, runtime_checkable, TypeVar
 
+import mode
 import uvloop
 
 from tanagerspoke import exceptions
@@ -14,6 +16,8 @@
 from tanagerspoke.settings import options
 from tanagerspoke.transport import logs
 
+log = logging.getLogger(__name__)
+
 T = TypeVar("T")
 
 EXIT_FAILED = 1
@@ -49,15 +53,19 @@
 
 
 def serve(*, name: str, log_level: str, service: Callable[[], Running]) -> None:
-    """Runs a service until SIGTERM or SIGINT.
+    """Runs a service until SIGTERM or SIGINT, or until one of its tasks fails.
 
-    A second signal shortens the stop of a service that has `hurry`.
+    A second signal shortens the stop of a service that has `hurry`. After a
+    failed task the process exits with 1, since it would go on without the
+    work of that task.
     """
     logs.configure(program=name, level=log_level)
-    uvloop.run(_serve(service))
+    if not uvloop.run(_serve(service)):
+        raise SystemExit(EXIT_FAILED)
 
 
-async def _serve(make: Callable[[], Running]) -> None:
+async def _serve(make: Callable[[], Running]) -> bool:
+    """Returns whether all tasks ran until the stop."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     service = make()
@@ -71,9 +79,19 @@
         loop.add_signal_handler(signum, on_signal)
     await service.start()
     try:
-        await stop.wait()
+        await _wait(service, stop)
     finally:
         await service.close()
+    return not getattr(service, "crashed", False)
+
+
+async def _wait(service: Running, stop: asyncio.Event) -> None:
+    if not isinstance(service, mode.Service):
+        await stop.wait()
+        return
+    await service.wait(stop.wait())
+    if service.crashed:
+        log.error("task_failed", extra={"error": repr(service.crash_reason)})
 
 
 def run_once(*, name: str, log_level: str, job: Awaitable[T]) -> T:
