--- a/tests/stack.py
+++ b/tests/stack.py
@@ -49,6 +49,28 @@
     }
 
 
+def declare(
+    directory: pathlib.Path, *, client_accounts: tuple[str, ...]
+) -> None:
+    """Writes declarations of the Hverasel services without rate limits."""
+    directory.mkdir()
+    template = json.loads(
+        (EXAMPLES / "hverasel" / "day-packages.json").read_text()
+    )
+    template["parameters"] = {}
+    for service in template["services"]:
+        service.pop("rate_per_s", None)
+        service.pop("concurrency", None)
+    (directory / "template.json").write_text(json.dumps(template))
+    for name in client_accounts:
+        account = {
+            "kind": "client_account",
+            "name": name,
+            "template": template["name"],
+        }
+        (directory / f"{name}.json").write_text(json.dumps(account))
+
+
 async def wait_until(
     condition: Callable[[], Awaitable[bool]], what: str
 ) -> None:
