Split the claim protocol into modules with one job each

The decisions are the same code, moved. The tests import the events from their new module; the broken variants of the state machine reach the group in flight and the unsettled group through the group commit.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -17,6 +17,8 @@
 import cyclopts
 from hdrh import histogram
 
+from tanagerspoke.coordination import claim_events
+from tanagerspoke.coordination import claim_limits
 from tanagerspoke.coordination import claims
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import platform
@@ -76,7 +78,7 @@
         self._latency = histogram.HdrHistogram(1, _MAX_LATENCY_US, 3)
         self._counts: collections.Counter[str] = collections.Counter()
         self._protocol = claims.ClaimProtocol(
-            limits=claims.Limits(
+            limits=claim_limits.Limits(
                 writes_per_s=writes_per_s,
                 group_rows=case.group_rows,
                 retention_s=3_600.0,
@@ -125,7 +127,7 @@
         self._at(self._now + gap_s, self._ask, number + 1)
         self._asked_at[number] = self._now
         self._give(
-            claims.ClaimAsked(
+            claim_events.ClaimAsked(
                 request_id=number,
                 claim=agent.ClaimRequest(
                     client_account="bench",
@@ -140,7 +142,7 @@
 
     def _complete(self, number: int) -> None:
         self._give(
-            claims.CompletionAsked(
+            claim_events.CompletionAsked(
                 request_id=-number,
                 completion=agent.CompleteRequest(
                     client_account="bench",
@@ -155,12 +157,12 @@
             )
         )
 
-    def _give(self, event: claims.Event) -> None:
+    def _give(self, event: claim_events.Event) -> None:
         for action in self._protocol.handle(event=event, now=self._now):
             match action:
-                case claims.Transact():
+                case claim_events.Transact():
                     self._transact(action)
-                case claims.Reply():
+                case claim_events.Reply():
                     self._reply(action)
         wakeup = self._protocol.next_wakeup
         if wakeup is not None:
@@ -169,9 +171,9 @@
     def _tick(self, wakeup: float) -> None:
         # A wake-up that a later event replaced is skipped.
         if self._protocol.next_wakeup == wakeup:
-            self._give(claims.Tick())
+            self._give(claim_events.Tick())
 
-    def _reply(self, action: claims.Reply) -> None:
+    def _reply(self, action: claim_events.Reply) -> None:
         asked_at = self._asked_at.pop(action.request_id)
         if not isinstance(action.reply, agent.Granted):
             self._counts["refused"] += 1
@@ -180,7 +182,7 @@
         self._latency.record_value(max(1, int(1e6 * (self._now - asked_at))))
         self._at(self._now + _UPSTREAM_S, self._complete, action.request_id)
 
-    def _transact(self, action: claims.Transact) -> None:
+    def _transact(self, action: claim_events.Transact) -> None:
         rows = len(action.transaction.operations)
         self._counts["transactions"] += 1
         self._counts["rows"] += rows
@@ -191,11 +193,11 @@
         answered_at = self._table_free_at + self._round_trip_s / 2
         self._at(answered_at, self._answer, action)
 
-    def _answer(self, action: claims.Transact) -> None:
+    def _answer(self, action: claim_events.Transact) -> None:
         reply: platform.TransactionReply = self._table.transact(
             action.transaction, now=self._now
         )
-        self._give(claims.Transacted(op_id=action.op_id, reply=reply))
+        self._give(claim_events.Transacted(op_id=action.op_id, reply=reply))
 
 
 def run(
--- a/tanagerspoke/transport/claim_service.py
+++ b/tanagerspoke/transport/claim_service.py
@@ -14,6 +14,8 @@
 import prometheus_client
 
 from tanagerspoke import exceptions
+from tanagerspoke.coordination import claim_events
+from tanagerspoke.coordination import claim_limits
 from tanagerspoke.coordination import claims
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import platform
@@ -108,7 +110,7 @@
         self._platform = platform
         self._metrics = metrics or NoMetrics()
         self._protocol = claims.ClaimProtocol(
-            limits=claims.Limits(
+            limits=claim_limits.Limits(
                 writes_per_s=cfg.writes_per_s,
                 group_rows=cfg.group_rows,
                 retention_s=cfg.claim_retention_s,
@@ -130,12 +132,14 @@
         A cancelled call counts as a gateway that left.
         """
         request_id, fut = self._new_request()
-        self._handle(claims.ClaimAsked(request_id=request_id, claim=request))
+        self._handle(
+            claim_events.ClaimAsked(request_id=request_id, claim=request)
+        )
         try:
             reply = await fut
         except asyncio.CancelledError:
             self._handle(
-                claims.AskerLeft(
+                claim_events.AskerLeft(
                     request_id=request_id, attempt_id=request.attempt_id
                 )
             )
@@ -155,7 +159,9 @@
         """
         request_id, fut = self._new_request()
         self._handle(
-            claims.CompletionAsked(request_id=request_id, completion=request)
+            claim_events.CompletionAsked(
+                request_id=request_id, completion=request
+            )
         )
         try:
             accepted = await fut
@@ -193,7 +199,7 @@
         self._replies[request_id] = fut
         return request_id, fut
 
-    def _handle(self, event: claims.Event) -> None:
+    def _handle(self, event: claim_events.Event) -> None:
         now = time.monotonic()
         for action in self._protocol.handle(event=event, now=now):
             self._carry_out(action)
@@ -207,26 +213,26 @@
         wakeup = self._protocol.next_wakeup
         if wakeup is not None and not self.should_stop:
             self._timer = asyncio.get_running_loop().call_later(
-                max(0.0, wakeup - now), self._handle, claims.Tick()
+                max(0.0, wakeup - now), self._handle, claim_events.Tick()
             )
 
-    def _carry_out(self, action: claims.Action) -> None:
+    def _carry_out(self, action: claim_events.Action) -> None:
         match action:
-            case claims.Transact():
+            case claim_events.Transact():
                 rows = len(action.transaction.operations)
                 self._metrics.observe_group(rows)
                 self._spawn(self._transact(action))
-            case claims.Read():
+            case claim_events.Read():
                 self._spawn(self._read(action))
-            case claims.StoreObject():
+            case claim_events.StoreObject():
                 self._spawn(self._store_object(action))
-            case claims.ReadObject():
+            case claim_events.ReadObject():
                 self._spawn(self._read_object(action))
-            case claims.Reply(request_id=request_id, reply=reply):
+            case claim_events.Reply(request_id=request_id, reply=reply):
                 self._resolve(request_id, reply)
-            case claims.CompletionDone():
+            case claim_events.CompletionDone():
                 self._resolve(action.request_id, action.accepted)
-            case claims.Contradiction():
+            case claim_events.Contradiction():
                 log.error(
                     "claim_record_contradicts_row",
                     extra={
@@ -246,25 +252,25 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _transact(self, action: claims.Transact) -> None:
-        event: claims.Event = claims.Unanswered(op_id=action.op_id)
+    async def _transact(self, action: claim_events.Transact) -> None:
+        event: claim_events.Event = claim_events.Unanswered(op_id=action.op_id)
         try:
             reply = await self._platform.transact(action.transaction)
-            event = claims.Transacted(op_id=action.op_id, reply=reply)
+            event = claim_events.Transacted(op_id=action.op_id, reply=reply)
         except exceptions.PlatformError as exc:
             self._note_error("transact", exc)
         self._handle(event)
 
-    async def _read(self, action: claims.Read) -> None:
-        event: claims.Event = claims.Unanswered(op_id=action.op_id)
+    async def _read(self, action: claim_events.Read) -> None:
+        event: claim_events.Event = claim_events.Unanswered(op_id=action.op_id)
         try:
             row: platform.Row | None = await self._platform.get(action.key)
-            event = claims.RowRead(op_id=action.op_id, row=row)
+            event = claim_events.RowRead(op_id=action.op_id, row=row)
         except exceptions.PlatformError as exc:
             self._note_error("get", exc)
         self._handle(event)
 
-    async def _store_object(self, action: claims.StoreObject) -> None:
+    async def _store_object(self, action: claim_events.StoreObject) -> None:
         stored = False
         try:
             # An object that exists was put by an earlier try of this attempt.
@@ -272,15 +278,17 @@
             stored = True
         except exceptions.PlatformError as exc:
             self._note_error("put_object", exc)
-        self._handle(claims.ObjectStored(op_id=action.op_id, stored=stored))
+        self._handle(
+            claim_events.ObjectStored(op_id=action.op_id, stored=stored)
+        )
 
-    async def _read_object(self, action: claims.ReadObject) -> None:
+    async def _read_object(self, action: claim_events.ReadObject) -> None:
         data = None
         try:
             data = await self._platform.get_object(action.key)
         except exceptions.PlatformError as exc:
             self._note_error("get_object", exc)
-        self._handle(claims.ObjectRead(op_id=action.op_id, data=data))
+        self._handle(claim_events.ObjectRead(op_id=action.op_id, data=data))
 
     def _note_error(
         self, operation: str, exc: exceptions.PlatformError
--- a/tests/coordination/test_claims.py
+++ b/tests/coordination/test_claims.py
@@ -2,6 +2,8 @@
 
 import random
 
+from tanagerspoke.coordination import claim_events as events
+from tanagerspoke.coordination import claim_limits
 from tanagerspoke.coordination import claims as protocol
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import platform
@@ -18,21 +20,21 @@
         self.table = standin.Table()
         self.replies: dict[int, agent.ClaimReply] = {}
         self.done: dict[int, bool] = {}
-        self.pending: list[protocol.Action] = []
+        self.pending: list[events.Action] = []
         self.sent_at: list[float] = []
         self.machine = protocol.ClaimProtocol(
-            limits=protocol.Limits(**(defaults | limits)),
+            limits=claim_limits.Limits(**(defaults | limits)),
             writer_id="writer",
             wall_clock_ms=lambda: int(self.now * 1000),
             rng=random.Random(1),
         )
 
-    def give(self, event: protocol.Event) -> None:
+    def give(self, event: events.Event) -> None:
         for action in self.machine.handle(event=event, now=self.now):
             match action:
-                case protocol.Reply(request_id=request_id, reply=reply):
+                case events.Reply(request_id=request_id, reply=reply):
                     self.replies[request_id] = reply
-                case protocol.CompletionDone():
+                case events.CompletionDone():
                     self.done[action.request_id] = action.accepted
                 case _:
                     self.pending.append(action)
@@ -47,7 +49,7 @@
             attempt_id=f"attempt-{number}",
             deadline_ms=deadline_ms,
         )
-        self.give(protocol.ClaimAsked(request_id=number, claim=request))
+        self.give(events.ClaimAsked(request_id=number, claim=request))
 
     def complete(self, number: int, result, *, key: str = "") -> None:
         completion = agent.CompleteRequest(
@@ -59,17 +61,17 @@
             result=result,
         )
         self.give(
-            protocol.CompletionAsked(
+            events.CompletionAsked(
                 request_id=1_000 + number, completion=completion
             )
         )
 
-    def next_operation(self) -> protocol.Action:
+    def next_operation(self) -> events.Action:
         """Returns the oldest operation, waiting up to 1 s for one."""
         end = self.now + 1.0
         while not self.pending and self.now < end:
             self.now += 0.001
-            self.give(protocol.Tick())
+            self.give(events.Tick())
         return self.pending[0]
 
     def answer(self) -> None:
@@ -77,24 +79,24 @@
         action = self.next_operation()
         self.pending.remove(action)
         match action:
-            case protocol.Transact(transaction=transaction):
+            case events.Transact(transaction=transaction):
                 reply = self.table.transact(transaction, now=self.now)
-                event = protocol.Transacted(op_id=action.op_id, reply=reply)
-            case protocol.Read(key=key):
+                event = events.Transacted(op_id=action.op_id, reply=reply)
+            case events.Read(key=key):
                 row = self.table.get(key, at=self.now)
-                event = protocol.RowRead(op_id=action.op_id, row=row)
+                event = events.RowRead(op_id=action.op_id, row=row)
         self.give(event)
 
     def lose(self) -> None:
         """Lets the oldest operation end without answer or effect."""
         action = self.pending.pop(0)
-        self.give(protocol.Unanswered(op_id=action.op_id))
+        self.give(events.Unanswered(op_id=action.op_id))
 
     def pass_time(self, seconds: float, *, up: bool) -> None:
         end = self.now + seconds
         while self.now < end:
             self.now += 0.01
-            self.give(protocol.Tick())
+            self.give(events.Tick())
             while self.pending:
                 self.answer() if up else self.lose()
 
@@ -136,7 +138,7 @@
         if number % 5:
             continue
         driver.now += 0.01
-        driver.give(protocol.Tick())
+        driver.give(events.Tick())
         if driver.pending and driver.now - driver.sent_at[-1] > 0.045:
             driver.answer()
         for asked in [n for n, r in driver.replies.items() if r]:
@@ -155,7 +157,7 @@
     action = driver.pending[0]
     driver.table.transact(action.transaction, now=driver.now)
     driver.lose()
-    assert isinstance(driver.pending[0], protocol.Read)
+    assert isinstance(driver.pending[0], events.Read)
     driver.answer()
     assert driver.replies[1] == agent.Granted()
 
@@ -238,7 +240,7 @@
     driver.complete(1, finished)
     store = driver.pending.pop(0)
     assert store.data == finished.body
-    driver.give(protocol.ObjectStored(op_id=store.op_id, stored=False))
+    driver.give(events.ObjectStored(op_id=store.op_id, stored=False))
     driver.pass_time(0.5, up=True)
     driver.ask(2, key="key-1")
     driver.answer()
--- a/tests/coordination/test_claims_machine.py
+++ b/tests/coordination/test_claims_machine.py
@@ -13,13 +13,15 @@
 from hypothesis import strategies as st
 import pytest
 
+from tanagerspoke.coordination import claim_events as events
+from tanagerspoke.coordination import claim_limits
 from tanagerspoke.coordination import claims as protocol
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import platform
 from tanagerspoke.standins import table as standin
 from tanagerspoke.state import claims as rows
 
-_LIMITS = protocol.Limits(
+_LIMITS = claim_limits.Limits(
     writes_per_s=60.0, group_rows=4, retention_s=86_400.0, max_entries=50
 )
 _SETTLE_S = 30.0
@@ -52,7 +54,7 @@
     """An operation on its way to the platform."""
 
     agent: int
-    action: protocol.Action
+    action: events.Action
 
 
 class ClaimMachine(stateful.RuleBasedStateMachine):
@@ -72,7 +74,7 @@
         self.asked: dict[int, Attempt] = {}
         self.runs: dict[str, list[Attempt]] = {}
         self.answers: dict[str, agent.Finished] = {}
-        self.contradictions: list[protocol.Contradiction] = []
+        self.contradictions: list[events.Contradiction] = []
         self.ids = itertools.count(1)
         self.agents = [self.new_agent(number) for number in range(2)]
 
@@ -84,15 +86,15 @@
             rng=random.Random(number),
         )
 
-    def give(self, number: int, event: protocol.Event) -> None:
+    def give(self, number: int, event: events.Event) -> None:
         for action in self.agents[number].handle(event=event, now=self.now):
             match action:
-                case protocol.Reply(request_id=request_id, reply=reply):
+                case events.Reply(request_id=request_id, reply=reply):
                     self.take_reply(self.asked.pop(request_id), reply)
-                case protocol.CompletionDone(request_id=request_id):
+                case events.CompletionDone(request_id=request_id):
                     if action.accepted:
                         self.asked.pop(request_id).completion = None
-                case protocol.Contradiction():
+                case events.Contradiction():
                     self.contradictions.append(action)
                 case _:
                     self.operations.append(
@@ -129,7 +131,7 @@
         self.asked[request_id] = attempt
         self.give(
             attempt.agent,
-            protocol.CompletionAsked(
+            events.CompletionAsked(
                 request_id=request_id, completion=attempt.completion
             ),
         )
@@ -137,9 +139,7 @@
     def send_claim(self, attempt: Attempt) -> None:
         request_id = next(self.ids)
         self.asked[request_id] = attempt
-        event = protocol.ClaimAsked(
-            request_id=request_id, claim=attempt.request
-        )
+        event = events.ClaimAsked(request_id=request_id, claim=attempt.request)
         self.give(attempt.agent, event)
 
     def apply(
@@ -162,7 +162,7 @@
             if wakeup > end:
                 break
             self.now = max(self.now, wakeup)
-            self.give(number, protocol.Tick())
+            self.give(number, events.Tick())
         self.now = end
 
     def some(self, pick: int, found: list):
@@ -220,7 +220,7 @@
         attempt = self.some(pick, self.waiting())
         attempt.not_run = True
         for request_id in [r for r, a in self.asked.items() if a is attempt]:
-            event = protocol.AskerLeft(
+            event = events.AskerLeft(
                 request_id=request_id, attempt_id=attempt.request.attempt_id
             )
             self.give(attempt.agent, event)
@@ -273,7 +273,7 @@
         for operation in self.operations:
             action = operation.action
             if operation.agent == number and isinstance(
-                action, protocol.Transact
+                action, events.Transact
             ):
                 self.ghosts.append(action.transaction)
         self.operations = [o for o in self.operations if o.agent != number]
@@ -309,38 +309,38 @@
     def finish(self, operation: Operation, fate: str, pick: int) -> None:
         action = operation.action
         op_id = action.op_id
-        event: protocol.Event = protocol.Unanswered(op_id=op_id)
+        event: events.Event = events.Unanswered(op_id=op_id)
         match action:
-            case protocol.Transact():
+            case events.Transact():
                 event = self.finish_transaction(action, fate)
-            case protocol.Read(key=key):
+            case events.Read(key=key):
                 if fate == "answered":
                     row = self.table.get(key, at=self.now)
-                    event = protocol.RowRead(op_id=op_id, row=row)
+                    event = events.RowRead(op_id=op_id, row=row)
                 elif fate == "delayed":
                     stale = self.some(pick, self.history.get(key, [None]))
-                    event = protocol.RowRead(op_id=op_id, row=stale)
-            case protocol.StoreObject(key=key, data=data):
+                    event = events.RowRead(op_id=op_id, row=stale)
+            case events.StoreObject(key=key, data=data):
                 if fate != "failed":
                     self.objects.setdefault(key, data)
-                event = protocol.ObjectStored(
+                event = events.ObjectStored(
                     op_id=op_id, stored=fate == "answered"
                 )
-            case protocol.ReadObject(key=key):
+            case events.ReadObject(key=key):
                 found = self.objects.get(key) if fate == "answered" else None
-                event = protocol.ObjectRead(op_id=op_id, data=found)
+                event = events.ObjectRead(op_id=op_id, data=found)
         self.give(operation.agent, event)
 
     def finish_transaction(
-        self, action: protocol.Transact, fate: str
-    ) -> protocol.Event:
+        self, action: events.Transact, fate: str
+    ) -> events.Event:
         if fate == "delayed":
             self.ghosts.append(action.transaction)
         elif fate != "failed":
             reply = self.apply(action.transaction)
             if fate == "answered":
-                return protocol.Transacted(op_id=action.op_id, reply=reply)
-        return protocol.Unanswered(op_id=action.op_id)
+                return events.Transacted(op_id=action.op_id, reply=reply)
+        return events.Unanswered(op_id=action.op_id)
 
     @stateful.precondition(lambda self: self.ghosts)
     @stateful.rule(pick=_PICKS)
@@ -428,11 +428,11 @@
     """Broken: takes a lost answer for proof that nothing was written."""
 
     def _take_silence(self, op_id, now):
-        group = self._in_flight
+        group = self._groups.in_flight
         super()._take_silence(op_id, now)
         if group is None or group.op_id != op_id:
             return
-        self._unsettled = None
+        self._groups.unsettled = None
         for entry in group.entries:
             if self._is_open(entry) and hasattr(entry, "request"):
                 self._answer(entry, entry.last_resort)
@@ -442,12 +442,12 @@
     """Broken: a row read back with an attempt of the group settles all."""
 
     def _take_row(self, event, now):
-        group = self._unsettled
+        group = self._groups.unsettled
         value = rows.decode(event.row.value) if event.row else None
         if group is not None and value is not None:
             ours = {entry.attempt_id for entry in group.entries}
             if value.attempt_id in ours:
-                self._unsettled = dataclasses.replace(
+                self._groups.unsettled = dataclasses.replace(
                     group, write_id=value.write_id
                 )
         super()._take_row(event, now)
--- a/tests/test_house_style.py
+++ b/tests/test_house_style.py
@@ -11,10 +11,10 @@
 
 # Data classes that are not frozen, each with the reason.
 _MUTABLE = {
-    "tanagerspoke/coordination/claims.py:_Claim": (
+    "tanagerspoke/coordination/claim_entries.py:Claim": (
         "a claim on its way, which its protocol alone owns and changes"
     ),
-    "tanagerspoke/coordination/claims.py:_Record": (
+    "tanagerspoke/coordination/claim_entries.py:Record": (
         "a record on its way, which its protocol alone owns and changes"
     ),
     "tanagerspoke/coordination/limits.py:_Usage": (
