--- a/tests/test_house_style.py
+++ b/tests/test_house_style.py
@@ -17,10 +17,10 @@
     "tanagerspoke/coordination/probing.py:_Watched": (
         "what the prober alone remembers of an upstream"
     ),
-    "tanagerspoke/coordination/claims.py:_Claim": (
+    "tanagerspoke/coordination/claim_entries.py:Claim": (
         "a claim on its way, which its protocol alone owns and changes"
     ),
-    "tanagerspoke/coordination/claims.py:_Record": (
+    "tanagerspoke/coordination/claim_entries.py:Record": (
         "a record on its way, which its protocol alone owns and changes"
     ),
     "tanagerspoke/coordination/limits.py:_Usage": (
