--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,63 @@
+"""The operations page names what the programs have."""
+
+import dataclasses
+import pathlib
+import re
+
+import prometheus_client
+import pytest
+
+from tanagerspoke.settings import options
+from tanagerspoke.transport import agent_metrics
+from tanagerspoke.transport import metrics
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_PAGE = (_ROOT / "docs" / "operations.md").read_text()
+_EVENT = re.compile(
+    r'\blog\.(?:debug|info|warning|error|exception)\(\s*"(\w+)"'
+)
+
+
+@pytest.mark.parametrize(
+    ("heading", "option_type"),
+    [
+        ("### tanagerspoke-gateway", options.Gateway),
+        ("### tanagerspoke-agent", options.Agent),
+        ("`budget` (", options.ControlBudget),
+        ("`store`:", options.Store),
+        ("### tanagerspokectl", options.Ctl),
+        ("### tanagerspoke-report", options.Report),
+    ],
+)
+def test_tables_have_every_option(heading: str, option_type: type) -> None:
+    """Guards against an option or a default that the page lacks."""
+    rows = _PAGE.partition(heading)[2].partition("| --- |")[2]
+    rows = rows.partition("\n\n")[0]
+    listed = dict(re.findall(r"^\| `(\w+)` \| [^|]+ \| ([^|]+) \|", rows, re.M))
+    fields = dataclasses.fields(option_type)
+    assert list(listed) == [field.name for field in fields]
+    for field in fields:
+        if isinstance(field.default, int | float):
+            assert listed[field.name] == f"`{field.default}`"
+
+
+def test_has_every_metric() -> None:
+    """Guards against a metric without a stated meaning."""
+    registry = prometheus_client.CollectorRegistry()
+    metrics.GatewayMetrics(registry=registry)
+    agent = agent_metrics.AgentMetrics().registry
+    for family in (*registry.collect(), *agent.collect()):
+        suffix = "_total" if family.type == "counter" else ""
+        assert f"`{family.name}{suffix}" in _PAGE
+
+
+def test_has_every_log_event() -> None:
+    """Guards against a log event without a stated meaning."""
+    sources = (_ROOT / "tanagerspoke" / "transport").rglob("*.py")
+    events = {
+        event
+        for source in sources
+        for event in _EVENT.findall(source.read_text())
+    }
+    assert len(events) > 20
+    assert {event for event in events if f"`{event}`" not in _PAGE} == set()
