Wait for workers in dev/run.sh and list the entry host

dev/run.sh printed its lines before the gateways knew any worker: each of the three calls was answered 503 no_upstream, and tanagerspokectl status named no host, since nobody had put the entry host into the platform's list.

Measured: dev/run.sh with its three lines, status and report; transcript in docs/measurements.md: 200, 200 (ran, then replayed), 200.

--- a/dev/run.sh
+++ b/dev/run.sh
@@ -33,6 +33,28 @@
   exit 1
 }
 
+# Each connection may reach the other gateway, so several lookups in a row
+# have to succeed.
+wait_for_workers() {
+  local served=0
+  for _ in $(seq 150); do
+    if curl --silent --fail --output /dev/null --header "$account" \
+      http://127.0.0.1:8080/package-catalogue/packages/1; then
+      served=$((served + 1))
+    else
+      served=0
+      sleep 0.2
+    fi
+    if ((served >= 12)); then return; fi
+  done
+  echo "the workers did not reach the gateways; see $logs" >&2
+  exit 1
+}
+
+account='Tanagerspoke-Client-Account: reykjavik-desk'
+entry='{"name": "entry-1", "role": "entry", "address": "127.0.0.1",
+  "port": 7411, "availability_zone": "is-1a", "region": "is-1"}'
+
 start tanagerspoke-standin platform platform
 wait_for http://127.0.0.1:7400/hosts "the platform's stand-in"
 for file in "$settings"/upstream-*.json; do
@@ -41,12 +63,21 @@
 start tanagerspoke-agent agent
 start tanagerspoke-gateway gateway-1
 start tanagerspoke-gateway gateway-2
-"$bin/tanagerspokectl" apply examples/hverasel examples/kotisiivo \
+# The platform lists entry hosts; in development nobody else does it.
+curl --silent --fail --request PUT --output /dev/null \
+  --header 'Content-Type: application/json' --data "$entry" \
+  http://127.0.0.1:7400/control/hosts/entry-1
+wait_for http://127.0.0.1:7412/healthz "the agent"
+wait_for http://127.0.0.1:8081/healthz "gateway 1"
+wait_for http://127.0.0.1:8082/healthz "gateway 2"
+"$bin/tanagerspokectl" apply examples/hverasel examples/kotisiivo --wait \
   --settings "$settings/ctl.json"
 wait_for http://127.0.0.1:8081/readyz "gateway 1"
 wait_for http://127.0.0.1:8082/readyz "gateway 2"
+# A gateway is ready before it knows the workers, which come with the agent's
+# next poll of the host list.
+wait_for_workers
 
-account='Tanagerspoke-Client-Account: reykjavik-desk'
 cat <<TEXT
 Callers:  http://127.0.0.1:8080
 Gateways: http://127.0.0.1:8081/metrics  http://127.0.0.1:8082/metrics
