Measure capacity of the whole system and extrapolate it

The slopes of state use a wide budget, one slope has the default budget, and bytes come from the agent's accounting. The load is checked to reach its rate, and a slope that may be zero is no longer extrapolated.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,13 +21,17 @@
 from tests import stack as stacks
 from tests import tcp_link
 
-_WINDOW_S = 4.0
-_SETTLE_S = 3.0
-# Bounds the whole run; a run takes about 4 minutes.
+_WINDOW_S = 3.0
+_SETTLE_S = 2.0
+# Bounds the whole run; a run takes about 5 minutes.
 _RUN_LIMIT_S = 900.0
 # The default of `tanagerspoke-agent`; `tests.stack` polls more often.
 _POLL_INTERVAL_S = 2.0
 _MAX_OUTSTANDING = 256
+_LEAST_SHARE_OF_RATE = 0.95
+# The default budget would spread the first host list of 2,000 workers over
+# minutes; with this one the slopes show what the state costs.
+_WIDE_BUDGET = {"bytes_per_s": 16_000_000, "cpu_share": 1.0, "memory_mb": 1024}
 # Quantile 0.975 of Student's t for two degrees of freedom: four points.
 _STUDENT_T = 4.303
 
@@ -40,31 +44,49 @@
     """What one agent and one gateway of a host use.
 
     Attributes:
-        fleet_platform_requests_per_s: of all agents together.
-        platform_bytes_per_s, gateway_link_bytes_per_s, peer_bytes_per_s:
-            TCP payload, both directions, of the measured agent; peers only
-            where they connect to it.
+        fleet_platform_reads_per_s: rows, scans and host lists, of all agents
+            together; transactions are `fleet_table_writes_per_s`.
+        platform_bytes_per_s, gateway_link_bytes_per_s: TCP payload, both
+            directions, of the measured agent.
+        control_bytes_per_s, heartbeat_bytes_per_s: as the agent charges
+            them to its budget, headers of TCP and IP included.
+        deferred_per_s: messages that the budget deferred.
+        startup_control_bytes: charged up to the first ready gateway.
+        ready_after_s: from the start of the programs to a ready gateway.
+        calls_per_s: calls that the gateway finished.
     """
 
     agent_memory_mb: float
     agent_cpu_percent: float
     gateway_memory_mb: float
     gateway_cpu_percent: float
-    fleet_platform_requests_per_s: float
+    fleet_platform_reads_per_s: float
+    fleet_table_writes_per_s: float
     platform_bytes_per_s: float
     gateway_link_bytes_per_s: float
-    peer_bytes_per_s: float
+    control_bytes_per_s: float
+    heartbeat_bytes_per_s: float
+    deferred_per_s: float
+    startup_control_bytes: float
+    ready_after_s: float
+    calls_per_s: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Slope:
-    """A size that is varied, and the two-year size to extrapolate to."""
+    """A size that is varied, and the two-year size to extrapolate to.
+
+    Attributes:
+        is_added: whether `together` adds it; another slope may vary the
+            same size.
+    """
 
     name: str
     points: tuple[int, ...]
     target: float
     source: str
     measure: Callable[[int], Awaitable[Sample]]
+    is_added: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -94,49 +116,73 @@
         stack: stacks.Stack,
         platform: tcp_link.TcpLink,
         gateway: tcp_link.TcpLink,
-        peers: tcp_link.TcpLink,
+        startup_bytes: float,
+        ready_after_s: float,
     ) -> None:
         self.stack = stack
         self._platform = platform
         self._gateway = gateway
-        self._peers = peers
+        self._startup_bytes = startup_bytes
+        self._ready_after_s = ready_after_s
 
     async def sample(self) -> Sample:
         """Measures over one window, after a time to settle."""
         await asyncio.sleep(_SETTLE_S)
         pids = [self.stack[name].pid for name in (_AGENT, _GATEWAY)]
-        links = (self._platform, self._gateway, self._peers)
+        links = (self._platform, self._gateway)
         started_at = time.monotonic()
         cpu = [_cpu_s(pid) for pid in pids]
+        before = await self._counters()
         sent = [link.forwarded_bytes for link in links]
-        requests = await self._platform_requests()
         await asyncio.sleep(_WINDOW_S)
         took_s = time.monotonic() - started_at
         agent_cpu, gateway_cpu = (
-            100 * (_cpu_s(pid) - before) / took_s
-            for pid, before in zip(pids, cpu, strict=True)
+            100 * (_cpu_s(pid) - earlier) / took_s
+            for pid, earlier in zip(pids, cpu, strict=True)
         )
         rates = [
-            (link.forwarded_bytes - before) / took_s
-            for link, before in zip(links, sent, strict=True)
+            (link.forwarded_bytes - earlier) / took_s
+            for link, earlier in zip(links, sent, strict=True)
         ]
+        after = await self._counters()
+        counted = {
+            name: (value - before[name]) / took_s
+            for name, value in after.items()
+        }
         return Sample(
             agent_memory_mb=_memory_mb(pids[0]),
             agent_cpu_percent=agent_cpu,
             gateway_memory_mb=_memory_mb(pids[1]),
             gateway_cpu_percent=gateway_cpu,
-            fleet_platform_requests_per_s=(
-                (await self._platform_requests() - requests) / took_s
-            ),
             platform_bytes_per_s=rates[0],
             gateway_link_bytes_per_s=rates[1],
-            peer_bytes_per_s=rates[2],
+            startup_control_bytes=self._startup_bytes,
+            ready_after_s=self._ready_after_s,
+            **counted,
         )
 
-    async def _platform_requests(self) -> int:
+    async def _counters(self) -> dict[str, float]:
+        """Returns counters by the field of `Sample` that has their rate."""
         counts = await self.stack.control("platform", "counts")
-        kinds = ("table_reads", "table_writes", "host_list_reads")
-        return sum(counts.get(kind, 0) for kind in kinds)
+        reads = ("table_reads", "host_list_reads")
+        return {
+            "fleet_platform_reads_per_s": sum(counts.get(k, 0) for k in reads),
+            "fleet_table_writes_per_s": counts.get("table_writes", 0),
+            "control_bytes_per_s": await _control(self.stack, "bytes"),
+            "heartbeat_bytes_per_s": await _control(
+                self.stack, "bytes", kind="heartbeat"
+            ),
+            "calls_per_s": await self.stack.metric(
+                _GATEWAY, "tanagerspoke_calls_total"
+            ),
+            "deferred_per_s": await _control(self.stack, "deferred"),
+        }
+
+
+async def _control(stack: stacks.Stack, what: str, **labels: str) -> float:
+    return await stack.metric(
+        _AGENT, f"tanagerspoke_control_{what}_total", **labels
+    )
 
 
 @contextlib.asynccontextmanager
@@ -147,6 +193,7 @@
     workers: Workers = (),
     hosts: int = 1,
     running_workers: int = 0,
+    budget: dict[str, Any] | None = None,
 ) -> AsyncIterator[Rig]:
     """Yields a configured entry host; ends all its processes."""
     with tempfile.TemporaryDirectory() as name:
@@ -159,7 +206,6 @@
                 stack.platform_port, "/control/hosts", list(workers)
             )
             stack.agent_ports["entry-1"] = stacks.free_port()
-            peer_port = stacks.free_port()
             links = [
                 await exits.enter_async_context(
                     tcp_link.TcpLink(target_port=port)
@@ -167,39 +213,50 @@
                 for port in (
                     stack.platform_port,
                     stack.agent_ports["entry-1"],
-                    peer_port,
                 )
             ]
             declared = directory / "declared"
             _write_declarations(
                 declared, services=services, client_accounts=client_accounts
             )
-            await _start(stack, links, peer_port, hosts, running_workers)
+            started_at = time.monotonic()
+            await _start(
+                stack,
+                links,
+                hosts=hosts,
+                running_workers=running_workers,
+                settings={} if budget is None else {"budget": budget},
+            )
             code, output = await stack.ctl("apply", str(declared))
             assert code == 0, output
             await stack.wait_ready(_GATEWAY)
+            ready_after_s = time.monotonic() - started_at
+            # The agent copies its spending into the metrics each second.
+            await asyncio.sleep(1.0)
             yield Rig(
                 stack=stack,
                 platform=links[0],
                 gateway=links[1],
-                peers=links[2],
+                startup_bytes=await _control(stack, "bytes"),
+                ready_after_s=ready_after_s,
             )
 
 
 async def _start(
     stack: stacks.Stack,
     links: Sequence[tcp_link.TcpLink],
-    peer_port: int,
+    *,
     hosts: int,
     running_workers: int,
+    settings: dict[str, Any],
 ) -> None:
-    platform, gateway, peers = links
+    platform, gateway = links
     await asyncio.gather(
         stack.add_agent(
             "entry-1",
             poll_interval_s=_POLL_INTERVAL_S,
             platform=stacks.endpoint(platform.port),
-            peers=stacks.endpoint(peer_port),
+            **settings,
         ),
         stack.add_gateway("entry-1", agent=stacks.endpoint(gateway.port)),
         *(
@@ -215,10 +272,6 @@
             for number in range(running_workers)
         ),
     )
-    await stack.list_host(
-        {"name": "entry-1", "role": "entry", "availability_zone": "az-a"}
-        | stacks.endpoint(peers.port)
-    )
 
 
 def _write_declarations(
@@ -288,6 +341,13 @@
 
 async def by_workers(count: int) -> Sample:
     """Measures with a number of listed workers."""
+    workers = _listed_workers(count)
+    async with rig(workers=workers, budget=_WIDE_BUDGET) as running:
+        return await running.sample()
+
+
+async def by_workers_in_budget(count: int) -> Sample:
+    """Measures with listed workers and the default control budget."""
     async with rig(workers=_listed_workers(count)) as running:
         return await running.sample()
 
@@ -295,13 +355,15 @@
 async def by_services(count: int) -> Sample:
     """Measures with a number of services with a worker each."""
     workers = _listed_workers(count, services=count)
-    async with rig(services=count, workers=workers) as running:
+    async with rig(
+        services=count, workers=workers, budget=_WIDE_BUDGET
+    ) as running:
         return await running.sample()
 
 
 async def by_client_accounts(count: int) -> Sample:
     """Measures with a number of declared client accounts."""
-    async with rig(client_accounts=count) as running:
+    async with rig(client_accounts=count, budget=_WIDE_BUDGET) as running:
         return await running.sample()
 
 
@@ -349,8 +411,9 @@
     """Samples under open-loop load.
 
     Raises:
-        AssertionError: more than 1 % of the calls failed, so that the
-            sample would not show the work of that rate.
+        AssertionError: more than 1 % of the calls failed, or the gateway
+            finished too few, so that the sample would not show the work of
+            that rate.
     """
 
     async def serves() -> bool:
@@ -383,6 +446,8 @@
         await asyncio.gather(load, *tasks, return_exceptions=True)
     failed = sum(status != 200 for status in statuses)
     assert failed <= 0.01 * len(statuses), f"{failed} of {len(statuses)} failed"
+    # A load generator that falls behind would flatten the slope.
+    assert sample.calls_per_s >= _LEAST_SHARE_OF_RATE * rate_per_s, sample
     return sample
 
 
@@ -435,10 +500,10 @@
         line = fit(slope.points, values)
         cells = [f"{value:.2f}" for value in values]
         cells += [f"{line.intercept:.2f}", f"{line.slope:.3g}"]
-        cells += [
-            f"{_STUDENT_T * line.error:.2g}",
-            f"{line.intercept + line.slope * slope.target:.1f}",
-        ]
+        cells.append(f"{_STUDENT_T * line.error:.2g}")
+        # A slope that may be zero would be noise times the target.
+        estimate = line.intercept + line.slope * slope.target
+        cells.append(f"{estimate:.1f}" if line.is_clear else "no slope")
         lines.append(f"| {field.name} | " + " | ".join(cells) + " |")
     return "\n".join(lines) + "\n"
 
@@ -462,6 +527,7 @@
                 fit(slope.points, [getattr(s, field.name) for s in samples]),
             )
             for slope, samples in measured
+            if slope.is_added
         }
         base = float(np.median([line.intercept for _, line in fits.values()]))
         added = {
@@ -490,6 +556,14 @@
             source="section 1.5",
             measure=by_workers,
         ),
+        Slope(
+            name="workers, default budget",
+            points=(50, 100, 200, 400),
+            target=2100,
+            source="section 1.5",
+            measure=by_workers_in_budget,
+            is_added=False,
+        ),
         Slope(
             name="services",
             points=(10, 60, 120, 180),
@@ -506,21 +580,22 @@
         ),
         Slope(
             name="agents",
-            points=(1, 4, 8, 16),
+            # With fewer than two peers an agent sends fewer heartbeats.
+            points=(3, 6, 9, 12),
             target=args.hosts,
             source="assumed",
             measure=by_peers,
         ),
         Slope(
             name="lookups/s",
-            points=(50, 100, 200, 400),
+            points=(100, 200, 400, 800),
             target=rate * (1 - args.write_share),
             source=per_gateway,
             measure=by_lookups,
         ),
         Slope(
             name="writes/s",
-            points=(5, 10, 20, 40),
+            points=(10, 20, 40, 80),
             target=rate * args.write_share,
             source=f"{args.write_share:g} of the calls of one gateway, "
             f"assumed; its agent has those of {args.gateways_per_host}",
