Serve callers by an own protocol on aiohttp's request parser

web.Server runs a task, a stream reader, timers and a payload writer for each connection. The connection now starts the call from the parser's callback, and the upstream's callback writes the answer; only claims and streamed answers run in a task. The payload reader resumes the parser, which calls back while the body is read; a guard keeps that from running a write twice. An exception of the scheduler at the end of an attempt is answered instead of leaving the caller without an answer.

--- a/tanagerspoke/transport/caller_server.py
+++ b/tanagerspoke/transport/caller_server.py
@@ -1,24 +1,22 @@
 """HTTP server for callers."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 import dataclasses
 import http
 import itertools
 import logging
 import secrets
-import socket
-import struct
 import time
 
 from aiohttp import http as aiohttp_http
-from aiohttp import web
 
 from tanagerspoke import exceptions
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import headers
 from tanagerspoke.settings import options
 from tanagerspoke.state import config
+from tanagerspoke.transport import caller_connection
 from tanagerspoke.transport import caller_protocol
 from tanagerspoke.transport import dispatcher
 from tanagerspoke.transport import upstream_client
@@ -48,11 +46,11 @@
         "Authorization",
     )
 )
-# Answers that a caller has not read above which the next one waits.
-_UNREAD_BYTES = 65_536
 # Time for a caller to read the end of its answer beyond the call's deadline.
 _READ_GRACE_S = 5.0
-_RESET = struct.pack("ii", 1, 0)
+# As long as aiohttp's own server keeps an unused connection.
+_IDLE_S = 3630.0
+_SWEEP_INTERVAL_S = 60.0
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
 
@@ -110,34 +108,53 @@
     outcome: errors.Outcome
 
 
-class _Written:
-    """What aiohttp's server needs of an answer that is already written."""
+class _Call:
+    """A call while its connection runs it."""
 
-    __slots__ = ("keep_alive",)
+    __slots__ = (
+        "conn",
+        "keep_alive",
+        "leave",
+        "message",
+        "record",
+        "request",
+        "task",
+    )
 
-    def __init__(self, *, keep_alive: bool) -> None:
-        self.keep_alive = keep_alive
+    def __init__(
+        self,
+        *,
+        conn: caller_connection.CallerConnection,
+        message: aiohttp_http.RawRequestMessage,
+        record: CallRecord,
+    ) -> None:
+        self.conn = conn
+        self.message = message
+        self.record = record
+        self.keep_alive = False
+        self.request: CallerRequest | None = None
+        self.leave: Callable[[], object] | None = None
+        self.task: asyncio.Task[None] | None = None
 
-    async def prepare(self, req: web.BaseRequest) -> None:
-        """Does nothing: the answer is written."""
 
-    async def write_eof(self) -> None:
-        """Does nothing: the answer is written."""
+OnDone = Callable[[CallerAnswer | None, Exception | None], None]
 
 
 class CallerServer:
     """Reads requests, hands them to `serve` and writes the answers.
 
-    `on_started` and `on_ended` are called around each call, from its headers
-    to the last byte of its answer. While `is_stopping`, each answer closes
-    its connection.
+    `serve` takes a request and a callback, which it calls once with the
+    answer or the error, and returns a function that tells it that the caller
+    left. `on_started` and `on_ended` are called around each call, from its
+    headers to the last byte of its answer. While `is_stopping`, each answer
+    closes its connection.
     """
 
     def __init__(
         self,
         *,
         cfg: options.Gateway,
-        serve: Callable[[CallerRequest], Awaitable[CallerAnswer]],
+        serve: Callable[[CallerRequest, OnDone], Callable[[], object]],
         on_started: Callable[[CallRecord], None] = lambda record: None,
         on_ended: Callable[[CallRecord], None] = lambda record: None,
         is_stopping: Callable[[], bool] = lambda: False,
@@ -149,31 +166,38 @@
         self._is_stopping = is_stopping
         self._call_ids = itertools.count(1)
         self._id_prefix = secrets.token_hex(8)
-        self._http: caller_protocol.CallerHttpServer | None = None
-        self._runner: web.ServerRunner | None = None
-        self._site: web.TCPSite | None = None
+        self._conns: set[caller_connection.CallerConnection] = set()
+        self._listener: asyncio.Server | None = None
+        self._sweep_timer: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         """Opens the caller port, shared with the host's other gateways."""
-        self._http = caller_protocol.CallerHttpServer(
-            handler=self._handle,
-            max_header_bytes=self._cfg.max_header_bytes,
-        )
-        self._runner = web.ServerRunner(self._http, shutdown_timeout=0.1)
-        await self._runner.setup()
-        self._site = web.TCPSite(
-            self._runner,
+        loop = asyncio.get_running_loop()
+
+        def connect() -> caller_connection.CallerConnection:
+            conn = caller_connection.CallerConnection(
+                loop=loop,
+                handler=self,
+                max_header_bytes=self._cfg.max_header_bytes,
+                max_body_bytes=self._cfg.max_body_bytes,
+            )
+            self._conns.add(conn)
+            return conn
+
+        self._listener = await loop.create_server(
+            connect,
             self._cfg.callers.address,
             self._cfg.callers.port,
             reuse_port=True,
+            backlog=128,
         )
-        await self._site.start()
+        self._sweep_timer = loop.call_later(_SWEEP_INTERVAL_S, self._sweep)
 
     async def close_listeners(self) -> None:
         """Accepts no new connections; open ones are served on."""
-        if self._site is not None:
-            await self._site.stop()
-            self._site = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
 
     async def flush(self, *, timeout_s: float) -> None:
         """Waits until the callers took what was written to them."""
@@ -182,64 +206,163 @@
             if not any(
                 conn.transport is not None
                 and conn.transport.get_write_buffer_size()
-                for conn in self._http.connections
+                for conn in self._conns
             ):
                 return
             await asyncio.sleep(0.01)
 
     async def close(self) -> None:
         """Closes the port and the callers' connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-            self._runner = None
-
-    async def _handle(self, req: web.BaseRequest) -> _Written:
+        await self.close_listeners()
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+            self._sweep_timer = None
+        for conn in list(self._conns):
+            if conn.call is not None:
+                # What was sent of its answer must not look whole.
+                conn.reset()
+            else:
+                conn.close()
+
+    def forget(self, conn: caller_connection.CallerConnection) -> None:
+        """Implements `caller_connection.Handler`."""
+        self._conns.discard(conn)
+
+    def open_call(
+        self,
+        conn: caller_connection.CallerConnection,
+        message: aiohttp_http.RawRequestMessage,
+    ) -> bool:
+        """Implements `caller_connection.Handler`."""
         call_id = next(self._call_ids)
         record = CallRecord(
             call_id=call_id,
             request_id=f"{self._id_prefix}{call_id:x}",
-            client_account=req.headers.get(headers.CLIENT_ACCOUNT, ""),
+            client_account=message.headers.get(headers.CLIENT_ACCOUNT, ""),
             service="",
             started_at=time.monotonic(),
         )
+        call = conn.call = _Call(conn=conn, message=message, record=record)
         self._on_started(record)
         try:
-            return await self._answer(req, record)
-        finally:
-            if record.code is None:
-                record.code = "caller_left"
-            self._on_ended(record)
+            call.request = self._read(message, record)
+        except Exception as exc:
+            self._write_failure(conn, call, exc)
+            return False
+        if conn.has_unread_body and "Expect" in message.headers:
+            conn.continue_body()
+        return True
+
+    def run_call(
+        self, conn: caller_connection.CallerConnection, body: bytes
+    ) -> None:
+        """Implements `caller_connection.Handler`."""
+        call = conn.call
+        request = call.request
+        if body:
+            request = dataclasses.replace(request, body=body)
+
+        def done(answered: CallerAnswer | None, exc: Exception | None) -> None:
+            self._answer(conn, call, answered, exc)
 
-    async def _answer(
-        self, req: web.BaseRequest, record: CallRecord
-    ) -> _Written:
         try:
-            request = await self._read(req, record)
-            answered = await self._serve(request)
-            if answered.answer.stream is not None:
-                return await self._stream(req, record, answered)
-            return await self._write_answer(req, record, answered)
-        except exceptions.CallRefusedError as exc:
-            return await self._write_error(
-                req, record, exc.code, str(exc), exc.retry_after_s
+            leave = self._serve(request, done)
+        except Exception as exc:
+            self._write_failure(conn, call, exc)
+        else:
+            call.leave = leave
+
+    def refuse_body(
+        self, conn: caller_connection.CallerConnection, *, too_large: bool
+    ) -> None:
+        """Implements `caller_connection.Handler`."""
+        exc = _body_too_large(self._cfg.max_body_bytes)
+        if not too_large:
+            exc = exceptions.CallRefusedError(
+                code=errors.ErrorCode.MALFORMED_REQUEST,
+                message="the body is not valid HTTP",
             )
-        except dispatcher.CallFailedError as exc:
-            return await self._write_error(req, record, exc.code, str(exc))
-        except ConnectionError:
-            raise
-        except Exception:
-            log.exception("call_failed", extra=_describe(record))
+        self._write_failure(conn, conn.call, exc)
+
+    def end_call(self, conn: caller_connection.CallerConnection) -> None:
+        """Implements `caller_connection.Handler`."""
+        call = conn.call
+        conn.call = None
+        record = call.record
+        if call.task is not None:
+            call.task.cancel()
+        elif record.code is None:
+            record.code = "caller_left"
+            if call.leave is not None:
+                call.leave()
+        if record.code is None:
+            record.code = "caller_left"
+        self._on_ended(record)
+
+    def _answer(
+        self,
+        conn: caller_connection.CallerConnection,
+        call: _Call,
+        answered: CallerAnswer | None,
+        exc: Exception | None,
+    ) -> None:
+        if conn.call is not call:
+            if answered is not None and answered.answer.stream is not None:
+                answered.answer.stream.abandon()
+            return
+        if exc is not None:
+            self._write_failure(conn, call, exc)
+        elif answered.answer.stream is not None:
+            call.task = asyncio.get_running_loop().create_task(
+                self._stream(conn, call, answered)
+            )
+        else:
+            try:
+                data = self._answer_bytes(call, answered)
+            except Exception as encode_exc:
+                self._write_failure(conn, call, encode_exc)
+            else:
+                self._send(conn, call, data)
+
+    def _write_failure(
+        self,
+        conn: caller_connection.CallerConnection,
+        call: _Call,
+        exc: Exception,
+    ) -> None:
+        if conn.call is not call:
+            return
+        record = call.record
+        retry_after_s = None
+        message = str(exc)
+        if isinstance(exc, exceptions.CallRefusedError):
+            code = exc.code
+            retry_after_s = exc.retry_after_s
+        elif isinstance(exc, dispatcher.CallFailedError):
+            code = exc.code
+        else:
+            log.error("call_failed", exc_info=exc, extra=_describe(record))
             code = errors.ErrorCode.INTERNAL_ERROR
             if record.dispatched:
                 code = errors.ErrorCode.OUTCOME_UNKNOWN
-            return await self._write_error(
-                req, record, code, "an unexpected error; see the log"
-            )
+            message = "an unexpected error; see the log"
+        self._send(
+            conn, call, self._error_bytes(call, code, message, retry_after_s)
+        )
 
-    async def _read(
-        self, req: web.BaseRequest, record: CallRecord
+    def _send(
+        self,
+        conn: caller_connection.CallerConnection,
+        call: _Call,
+        data: bytes,
+    ) -> None:
+        if conn.is_open:
+            conn.transport.write(data)
+            conn.finish(keep_alive=call.keep_alive)
+
+    def _read(
+        self, message: aiohttp_http.RawRequestMessage, record: CallRecord
     ) -> CallerRequest:
-        message = req._message  # raw_path quotes again, which costs time
         path = message.path
         _check_size(message.raw_headers, self._cfg.max_header_bytes)
         if not record.client_account:
@@ -253,72 +376,55 @@
                 message="the request target must be a path",
             )
         record.service, _, rest = path[1:].partition("/")
-        record.earlier_may_have_run = _is_repeat(req)
-        return CallerRequest(
+        record.earlier_may_have_run = _is_repeat(message)
+        request = CallerRequest(
             request_id=record.request_id,
             client_account=record.client_account,
-            token=_token(req),
+            token=_token(message),
             service=record.service,
-            method=req.method,
+            method=message.method,
             path="/" + rest,
-            deadline_s=_deadline_s(req),
-            depth=_depth(req),
-            key=_key(req),
-            headers=_forwarded(req),
-            body=await self._read_body(req),
+            deadline_s=_deadline_s(message),
+            depth=_depth(message),
+            key=_key(message),
+            headers=_forwarded(message),
+            body=b"",
             record=record,
         )
-
-    async def _read_body(self, req: web.BaseRequest) -> bytes:
-        if not req.body_exists:
-            return b""
+        length = message.headers.get("Content-Length", "")
         limit = self._cfg.max_body_bytes
-        if (req.content_length or 0) > limit:
+        if length.isdecimal() and int(length) > limit:
             raise _body_too_large(limit)
-        if "Expect" in req.headers and req.transport is not None:
-            req.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        parts = []
-        size = 0
-        async for part in req.content.iter_any():
-            size += len(part)
-            if size > limit:
-                raise _body_too_large(limit)
-            parts.append(part)
-        return b"".join(parts)
-
-    def _keeps_alive(self, req: web.BaseRequest) -> bool:
+        return request
+
+    def _keeps_alive(self, message: aiohttp_http.RawRequestMessage) -> bool:
         return (
-            req.keep_alive
-            and req.version >= aiohttp_http.HttpVersion11
+            not message.should_close
+            and message.version >= aiohttp_http.HttpVersion11
             and not self._is_stopping()
         )
 
-    async def _write_answer(
-        self, req: web.BaseRequest, record: CallRecord, answered: CallerAnswer
-    ) -> _Written:
+    def _answer_bytes(self, call: _Call, answered: CallerAnswer) -> bytes:
         answer = answered.answer
-        record.code = "ok"
-        record.status = answer.status
-        found = (
-            *answer.headers,
-            (headers.REQUEST_ID, record.request_id),
-            (headers.OUTCOME, answered.outcome.value),
-        )
+        record = call.record
         length: int | None = len(answer.body)
-        if req.method == "HEAD" or answer.status == 304:
+        if call.message.method == "HEAD" or answer.status == 304:
             length = answer.content_length
         elif answer.status == 204:
             length = None
-        return await self._write(req, answer.status, found, length, answer.body)
+        head = self._head_bytes(call, answered, length)
+        record.code = "ok"
+        record.status = answer.status
+        return head + answer.body
 
-    async def _write_error(
+    def _error_bytes(
         self,
-        req: web.BaseRequest,
-        record: CallRecord,
+        call: _Call,
         code: errors.ErrorCode,
         message: str,
-        retry_after_s: float | None = None,
-    ) -> _Written:
+        retry_after_s: float | None,
+    ) -> bytes:
+        record = call.record
         record.code = code.value
         record.status = errors.status_of(code)
         outcome = errors.outcome_of(code)
@@ -338,58 +444,57 @@
             request_id=record.request_id,
             retry_after_s=retry_after_s,
         )
-        length = len(body)
-        if req.method == "HEAD":
+        lines = self._start_lines(call, record.status, found, len(body))
+        if call.message.method == "HEAD":
             body = b""
-        return await self._write(req, record.status, found, length, body)
+        return upstream_client.encode_head(lines) + body
 
-    async def _write(
+    def _head_bytes(
+        self, call: _Call, answered: CallerAnswer, length: int | None
+    ) -> bytes:
+        answer = answered.answer
+        found = (
+            *answer.headers,
+            (headers.REQUEST_ID, call.record.request_id),
+            (headers.OUTCOME, answered.outcome.value),
+        )
+        return upstream_client.encode_head(
+            self._start_lines(call, answer.status, found, length)
+        )
+
+    def _start_lines(
         self,
-        req: web.BaseRequest,
+        call: _Call,
         status: int,
         found: upstream_client.Headers,
         length: int | None,
-        body: bytes,
-    ) -> _Written:
-        keep_alive = self._keeps_alive(req)
+    ) -> list[str]:
+        call.keep_alive = (
+            self._keeps_alive(call.message) and not call.conn.has_unread_body
+        )
         lines = [f"HTTP/1.1 {status} {_REASONS.get(status, '')}"]
         lines += [f"{name}: {value}" for name, value in found]
         if length is not None:
             lines.append(f"Content-Length: {length}")
-        if not keep_alive:
+        if not call.keep_alive:
             lines.append("Connection: close")
-        data = upstream_client.encode_head(lines) + body
-        transport = req.transport
-        if transport is None or transport.is_closing():
-            raise ConnectionResetError("the caller left")
-        transport.write(data)
-        if transport.get_write_buffer_size() > _UNREAD_BYTES:
-            await self._drain(req)
-        return _Written(keep_alive=keep_alive)
-
-    async def _drain(self, req: web.BaseRequest) -> None:
-        try:
-            async with asyncio.timeout(headers.MAX_DEADLINE_MS / 1000):
-                await req.writer.drain()
-        except TimeoutError as exc:
-            _reset(req)
-            raise ConnectionResetError("the caller reads nothing") from exc
+        return lines
 
     async def _stream(
-        self, req: web.BaseRequest, record: CallRecord, answered: CallerAnswer
-    ) -> web.StreamResponse:
+        self,
+        conn: caller_connection.CallerConnection,
+        call: _Call,
+        answered: CallerAnswer,
+    ) -> None:
         answer = answered.answer
+        record = call.record
         record.status = answer.status
         whole = False
         try:
-            resp = self._stream_response(req, record, answered)
             deadline = record.deadline or time.monotonic()
             left_s = deadline - time.monotonic() + _READ_GRACE_S
             async with asyncio.timeout(left_s):
-                await resp.prepare(req)
-                while data := await answer.stream.read():
-                    await resp.write(data)
-                await resp.write_eof()
+                await self._write_stream(conn, call, answered)
             whole = True
             record.code = "ok"
         except (exceptions.UpstreamError, TimeoutError) as exc:
@@ -398,44 +503,57 @@
                 "answer_broke_off",
                 extra=_describe(record) | {"error": str(exc)},
             )
-            raise ConnectionResetError("the answer broke off") from exc
+        except ConnectionError:
+            log.debug("caller_left", extra=_describe(record))
+        except Exception as exc:
+            record.code = errors.ErrorCode.OUTCOME_UNKNOWN.value
+            log.error("call_failed", exc_info=exc, extra=_describe(record))
         finally:
             answer.stream.abandon()
             if not whole:
-                _reset(req)
-        return resp
+                conn.reset()
+        call.task = None
+        if whole and conn.call is call:
+            conn.finish(keep_alive=call.keep_alive)
 
-    def _stream_response(
-        self, req: web.BaseRequest, record: CallRecord, answered: CallerAnswer
-    ) -> web.StreamResponse:
+    async def _write_stream(
+        self,
+        conn: caller_connection.CallerConnection,
+        call: _Call,
+        answered: CallerAnswer,
+    ) -> None:
         answer = answered.answer
-        resp = web.StreamResponse(status=answer.status)
-        for name, value in answer.headers:
-            resp.headers.add(name, value)
-        resp.headers[headers.REQUEST_ID] = record.request_id
-        resp.headers[headers.OUTCOME] = answered.outcome.value
-        if answer.content_length is not None:
-            resp.content_length = answer.content_length
-        elif req.version >= aiohttp_http.HttpVersion11:
-            resp.enable_chunked_encoding()
-        if not self._keeps_alive(req):
-            resp.force_close()
-        return resp
-
-
-def _reset(req: web.BaseRequest) -> None:
-    """Resets the connection, so that a broken answer never looks whole.
-
-    Without the reset, an answer whose end is the end of the connection
-    (HTTP/1.0) could not be told from a whole one.
-    """
-    transport = req.transport
-    if transport is None:
-        return
-    sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-    transport.abort()
+        head = self._head_bytes(call, answered, answer.content_length)
+        chunked = (
+            answer.content_length is None
+            and call.message.version >= aiohttp_http.HttpVersion11
+        )
+        if chunked:
+            head = head[:-2] + b"Transfer-Encoding: chunked\r\n\r\n"
+        _write(conn, head)
+        while data := await answer.stream.read():
+            _write(
+                conn, b"%x\r\n%b\r\n" % (len(data), data) if chunked else data
+            )
+            await conn.drain()
+        if chunked:
+            _write(conn, b"0\r\n\r\n")
+        await conn.drain()
+
+    def _sweep(self) -> None:
+        oldest = time.monotonic() - _IDLE_S
+        for conn in list(self._conns):
+            if conn.call is None and conn.idle_since < oldest:
+                conn.close()
+        self._sweep_timer = asyncio.get_running_loop().call_later(
+            _SWEEP_INTERVAL_S, self._sweep
+        )
+
+
+def _write(conn: caller_connection.CallerConnection, data: bytes) -> None:
+    if not conn.is_open:
+        raise ConnectionResetError("the caller left")
+    conn.transport.write(data)
 
 
 def _describe(record: CallRecord) -> dict[str, str]:
@@ -466,16 +584,16 @@
         )
 
 
-def _token(req: web.BaseRequest) -> str | None:
-    value = req.headers.get("Authorization")
+def _token(message: aiohttp_http.RawRequestMessage) -> str | None:
+    value = message.headers.get("Authorization")
     if value is None:
         return None
     scheme, _, token = value.partition(" ")
     return token if scheme.lower() == "bearer" else None
 
 
-def _deadline_s(req: web.BaseRequest) -> float | None:
-    value = req.headers.get(headers.DEADLINE_MS)
+def _deadline_s(message: aiohttp_http.RawRequestMessage) -> float | None:
+    value = message.headers.get(headers.DEADLINE_MS)
     if value is None:
         return None
     if not (value.isascii() and value.isdecimal() and len(value) <= 9) or not (
@@ -489,8 +607,8 @@
     return int(value) / 1000
 
 
-def _depth(req: web.BaseRequest) -> int:
-    value = req.headers.get(headers.DEPTH)
+def _depth(message: aiohttp_http.RawRequestMessage) -> int:
+    value = message.headers.get(headers.DEPTH)
     if value is None:
         return 0
     if not (value.isascii() and value.isdecimal() and len(value) <= 9):
@@ -506,12 +624,12 @@
     return int(value)
 
 
-def _is_repeat(req: web.BaseRequest) -> bool:
-    return req.headers.get(headers.REPEAT, "").lower() == "yes"
+def _is_repeat(message: aiohttp_http.RawRequestMessage) -> bool:
+    return message.headers.get(headers.REPEAT, "").lower() == "yes"
 
 
-def _key(req: web.BaseRequest) -> str | None:
-    value = req.headers.get(headers.IDEMPOTENCY_KEY)
+def _key(message: aiohttp_http.RawRequestMessage) -> str | None:
+    value = message.headers.get(headers.IDEMPOTENCY_KEY)
     if value is None:
         return None
     if not (
@@ -526,13 +644,15 @@
     return value
 
 
-def _forwarded(req: web.BaseRequest) -> upstream_client.Headers:
+def _forwarded(
+    message: aiohttp_http.RawRequestMessage,
+) -> upstream_client.Headers:
     kept = tuple(
         (name, value)
-        for name, value in req.headers.items()
+        for name, value in message.headers.items()
         if name.lower() not in _DROPPED
     )
-    connection = req.headers.get("Connection")
+    connection = message.headers.get("Connection")
     if connection is None or connection.lower() in ("close", "keep-alive"):
         return kept
     named = {part.strip().lower() for part in connection.split(",")}
--- a/tanagerspoke/transport/dispatcher.py
+++ b/tanagerspoke/transport/dispatcher.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import functools
 
 from tanagerspoke import exceptions
 from tanagerspoke.coordination import scheduling
@@ -21,15 +22,19 @@
         self.code = code
 
 
+OnDone = Callable[[upstream_client.Answer | None, Exception | None], None]
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Running:
     """A call that is not answered, or whose attempts have not all ended."""
 
     call: calls.Call
     request: upstream_client.UpstreamRequest
-    fut: asyncio.Future[upstream_client.Answer]
+    on_done: OnDone
     exchanges: dict[int, upstream_client.Exchange]
     answers: dict[int, upstream_client.Answer]
+    done: bool = False
 
 
 def _ignore(upstream_id: str) -> None:
@@ -77,22 +82,47 @@
             CallRefusedError: the call is proven not run.
             CallFailedError: the outcome of the call is unknown.
         """
+        fut = asyncio.get_running_loop().create_future()
+
+        def on_done(
+            answer: upstream_client.Answer | None, exc: Exception | None
+        ) -> None:
+            if fut.done():
+                return
+            if exc is not None:
+                fut.set_exception(exc)
+            else:
+                fut.set_result(answer)
+
+        leave = self.start(call=call, request=request, on_done=on_done)
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            leave()
+            raise
+
+    def start(
+        self,
+        *,
+        call: calls.Call,
+        request: upstream_client.UpstreamRequest,
+        on_done: OnDone,
+    ) -> Callable[[], None]:
+        """Starts a call and returns the function for a caller that leaves.
+
+        `on_done` is called once with what `run` returns or raises, possibly
+        before this returns, and not at all after the caller left.
+        """
         running = _Running(
             call=call,
             request=request,
-            fut=asyncio.get_running_loop().create_future(),
+            on_done=on_done,
             exchanges={},
             answers={},
         )
         self._running[call.call_id] = running
         self.handle(calls.Arrive(call=call))
-        try:
-            return await running.fut
-        except asyncio.CancelledError:
-            self._leave(running)
-            raise
-        finally:
-            self._forget_if_ended(running)
+        return functools.partial(self._leave, running)
 
     @property
     def in_flight(self) -> int:
@@ -152,13 +182,15 @@
     def _leave(self, running: _Running) -> None:
         if self._running.get(running.call.call_id) is not running:
             return
+        running.done = True
         self.handle(calls.CallerLeft(call_id=running.call.call_id))
         # Whatever the scheduler cancelled itself has ended by now.
         for exchange in list(running.exchanges.values()):
             exchange.cancel()
+        self._forget_if_ended(running)
 
     def _forget_if_ended(self, running: _Running) -> None:
-        if running.fut.done() and not running.exchanges:
+        if running.done and not running.exchanges:
             self._running.pop(running.call.call_id, None)
 
     def _carry_out(self, action: calls.SchedulerAction, now: float) -> None:
@@ -173,10 +205,11 @@
                 if exchange is not None:
                     exchange.cancel()
             case calls.Settle(attempt=attempt):
-                _resolve(running.fut, running.answers.pop(attempt))
+                self._finish(running, running.answers.pop(attempt), None)
             case calls.Refuse(code=code, retry_after_s=retry_after_s):
-                _reject(
-                    running.fut,
+                self._finish(
+                    running,
+                    None,
                     exceptions.CallRefusedError(
                         code=code,
                         message=f"not run: {code}",
@@ -184,7 +217,19 @@
                     ),
                 )
             case calls.Fail(code=code):
-                _reject(running.fut, CallFailedError(code=code))
+                self._finish(running, None, CallFailedError(code=code))
+
+    def _finish(
+        self,
+        running: _Running,
+        answer: upstream_client.Answer | None,
+        exc: Exception | None,
+    ) -> None:
+        if running.done:
+            return
+        running.done = True
+        running.on_done(answer, exc)
+        self._forget_if_ended(running)
 
     def _dispatch(
         self, running: _Running, action: calls.Dispatch, now: float
@@ -215,12 +260,12 @@
         action: calls.Dispatch,
         answer: upstream_client.Answer,
     ) -> None:
-        if running.fut.done():
+        if running.done:
             running.exchanges[action.attempt].cancel()
             return
         assert answer.stream is not None
         answer.stream.on_abandoned = lambda: self._leave(running)
-        _resolve(running.fut, answer)
+        self._finish(running, answer, None)
         self.handle(
             calls.AnswerStarted(call_id=action.call_id, attempt=action.attempt)
         )
@@ -235,15 +280,19 @@
         if ended.answer is not None:
             running.answers[action.attempt] = ended.answer
         self._note_load(action.upstream_id, ended.load)
-        self.handle(
-            calls.AttemptEnded(
-                call_id=action.call_id,
-                attempt=action.attempt,
-                upstream_id=action.upstream_id,
-                result=ended.result,
-                load=ended.load,
+        try:
+            self.handle(
+                calls.AttemptEnded(
+                    call_id=action.call_id,
+                    attempt=action.attempt,
+                    upstream_id=action.upstream_id,
+                    result=ended.result,
+                    load=ended.load,
+                )
             )
-        )
+        except Exception as exc:
+            # Without an answer the caller would wait for ever.
+            self._finish(running, None, exc)
         self._forget_if_ended(running)
 
     def _note_load(
@@ -272,18 +321,3 @@
         self._timer = None
         self._timer_at = None
         self.handle(calls.Tick())
-
-
-def _resolve(
-    fut: asyncio.Future[upstream_client.Answer],
-    answer: upstream_client.Answer,
-) -> None:
-    if not fut.done():
-        fut.set_result(answer)
-
-
-def _reject(
-    fut: asyncio.Future[upstream_client.Answer], exc: Exception
-) -> None:
-    if not fut.done():
-        fut.set_exception(exc)
--- a/tanagerspoke/transport/gateway_service.py
+++ b/tanagerspoke/transport/gateway_service.py
@@ -1,6 +1,8 @@
 """The gateway: joins caller server, schedulers and agent client."""
 
+import asyncio
 import collections
+from collections.abc import Callable
 import functools
 import hashlib
 import hmac
@@ -49,6 +51,7 @@
         self._upstreams: dict[str, tuple[upstreams.Upstream, ...]] = {}
         self._service_of: dict[str, str] = {}
         self._gateways = 1
+        self._tasks: set[asyncio.Task[caller_server.CallerAnswer]] = set()
         self._limiters: dict[str, limits.AccountLimiter] = {}
         self._rng = random.Random()
         self._registry = prometheus_client.CollectorRegistry()
@@ -225,14 +228,15 @@
         self._dispatchers[service] = created
         return created
 
-    async def serve(
-        self, request: caller_server.CallerRequest
-    ) -> caller_server.CallerAnswer:
-        """Answers one request of a caller.
+    def serve(
+        self,
+        request: caller_server.CallerRequest,
+        on_done: caller_server.OnDone,
+    ) -> Callable[[], object]:
+        """Starts one request of a caller; see `caller_server.CallerServer`.
 
         Raises:
             CallRefusedError: the call is proven not run.
-            CallFailedError: the outcome of the call is unknown.
         """
         record = request.record
         assert record is not None
@@ -269,10 +273,16 @@
             hedge=route.hedge,
         )
         if route.key_rule is declarations.KeyRule.NONE:
-            return await self._run(call, request)
-        return await self._keyed_writes.run(
-            call=call, request=request, route=route, dispatch=self._run
+            return self._start(call, request, on_done)
+        task = asyncio.get_running_loop().create_task(
+            self._keyed_writes.run(
+                call=call, request=request, route=route, dispatch=self._run
+            )
         )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(functools.partial(_report, on_done))
+        return task.cancel
 
     def _enter_limits(
         self, record: caller_server.CallRecord, declared: config.Limits
@@ -313,28 +323,10 @@
     ) -> caller_server.CallerAnswer:
         record = request.record
         assert record is not None
-        # A write is held whole even where it is long, since its answer is
-        # recorded under its key.
-        may_stream = call.call_class is not calls.CallClass.WRITE
-        hold_bytes = self._cfg.hold_answer_bytes
-        if not may_stream:
-            hold_bytes = max(hold_bytes, self._cfg.max_body_bytes)
         record.dispatched = True
         try:
             answer = await self._dispatcher(request.service).run(
-                call=call,
-                request=upstream_client.UpstreamRequest(
-                    request_id=request.request_id,
-                    client_account=request.client_account,
-                    method=request.method,
-                    path=request.path,
-                    headers=request.headers,
-                    body=request.body,
-                    service=request.service,
-                    depth=request.depth,
-                    hold_bytes=hold_bytes,
-                    may_stream=may_stream,
-                ),
+                call=call, request=self._upstream_request(call, request)
             )
         except exceptions.CallRefusedError:
             record.dispatched = False
@@ -343,6 +335,73 @@
             answer=answer, outcome=errors.Outcome.RAN
         )
 
+    def _start(
+        self,
+        call: calls.Call,
+        request: caller_server.CallerRequest,
+        on_done: caller_server.OnDone,
+    ) -> Callable[[], None]:
+        """Runs a call without a claim by callbacks, without a task."""
+        record = request.record
+        assert record is not None
+
+        def finish(
+            answer: upstream_client.Answer | None, exc: Exception | None
+        ) -> None:
+            if answer is not None:
+                on_done(
+                    caller_server.CallerAnswer(
+                        answer=answer, outcome=errors.Outcome.RAN
+                    ),
+                    None,
+                )
+                return
+            if isinstance(exc, exceptions.CallRefusedError):
+                record.dispatched = False
+            on_done(None, exc)
+
+        record.dispatched = True
+        return self._dispatcher(request.service).start(
+            call=call,
+            request=self._upstream_request(call, request),
+            on_done=finish,
+        )
+
+    def _upstream_request(
+        self, call: calls.Call, request: caller_server.CallerRequest
+    ) -> upstream_client.UpstreamRequest:
+        # A write is held whole even where it is long, since its answer is
+        # recorded under its key.
+        may_stream = call.call_class is not calls.CallClass.WRITE
+        hold_bytes = self._cfg.hold_answer_bytes
+        if not may_stream:
+            hold_bytes = max(hold_bytes, self._cfg.max_body_bytes)
+        return upstream_client.UpstreamRequest(
+            request_id=request.request_id,
+            client_account=request.client_account,
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            body=request.body,
+            service=request.service,
+            depth=request.depth,
+            hold_bytes=hold_bytes,
+            may_stream=may_stream,
+        )
+
+
+def _report(
+    on_done: caller_server.OnDone,
+    task: asyncio.Task[caller_server.CallerAnswer],
+) -> None:
+    if task.cancelled():
+        return
+    exc = task.exception()
+    if exc is None:
+        on_done(task.result(), None)
+    elif isinstance(exc, Exception):
+        on_done(None, exc)
+
 
 def _check_token(account: config.Account, token: str | None) -> None:
     if account.token_sha256 is None:
