Bound the log lines of failures; count durations without locks

A surge of failed or late calls logged a line each, which costs about as much as the call. Each event now has a token bucket (calls 20/s, late and lost replies 100/s after a burst of 1000); what is left out is logged once a second with counts by client account. The duration histogram is a collector of its own with one list update for each call, in place of two locked values and a linear search.

--- a/tanagerspoke/transport/caller_server.py
+++ b/tanagerspoke/transport/caller_server.py
@@ -19,6 +19,7 @@
 from tanagerspoke.transport import caller_connection
 from tanagerspoke.transport import caller_protocol
 from tanagerspoke.transport import dispatcher
+from tanagerspoke.transport import log_limit
 from tanagerspoke.transport import upstream_client
 
 log = logging.getLogger(__name__)
@@ -51,6 +52,8 @@
 # As long as aiohttp's own server keeps an unused connection.
 _IDLE_S = 3630.0
 _SWEEP_INTERVAL_S = 60.0
+_FAILURE_LINES_PER_S = 10.0
+_FAILURE_LINES_BURST = 100
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
 
@@ -169,6 +172,8 @@
         self._conns: set[caller_connection.CallerConnection] = set()
         self._listener: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
+        self._failed_log = _failure_log("call_failed")
+        self._broke_log = _failure_log("answer_broke_off")
 
     async def start(self) -> None:
         """Opens the caller port, shared with the host's other gateways."""
@@ -341,7 +346,7 @@
         elif isinstance(exc, dispatcher.CallFailedError):
             code = exc.code
         else:
-            log.error("call_failed", exc_info=exc, extra=_describe(record))
+            self._log_failure(record, exc)
             code = errors.ErrorCode.INTERNAL_ERROR
             if record.dispatched:
                 code = errors.ErrorCode.OUTCOME_UNKNOWN
@@ -350,6 +355,10 @@
             conn, call, self._error_bytes(call, code, message, retry_after_s)
         )
 
+    def _log_failure(self, record: CallRecord, exc: Exception) -> None:
+        if self._failed_log.allows(record.client_account):
+            log.error("call_failed", exc_info=exc, extra=_describe(record))
+
     def _send(
         self,
         conn: caller_connection.CallerConnection,
@@ -499,15 +508,16 @@
             record.code = "ok"
         except (exceptions.UpstreamError, TimeoutError) as exc:
             record.code = errors.ErrorCode.UPSTREAM_BROKEN.value
-            log.warning(
-                "answer_broke_off",
-                extra=_describe(record) | {"error": str(exc)},
-            )
+            if self._broke_log.allows(record.client_account):
+                log.warning(
+                    "answer_broke_off",
+                    extra=_describe(record) | {"error": str(exc)},
+                )
         except ConnectionError:
             log.debug("caller_left", extra=_describe(record))
         except Exception as exc:
             record.code = errors.ErrorCode.OUTCOME_UNKNOWN.value
-            log.error("call_failed", exc_info=exc, extra=_describe(record))
+            self._log_failure(record, exc)
         finally:
             answer.stream.abandon()
             if not whole:
@@ -550,6 +560,14 @@
         )
 
 
+def _failure_log(event: str) -> log_limit.LogLimit:
+    return log_limit.LogLimit(
+        event=event,
+        rate_per_s=_FAILURE_LINES_PER_S,
+        burst=_FAILURE_LINES_BURST,
+    )
+
+
 def _write(conn: caller_connection.CallerConnection, data: bytes) -> None:
     if not conn.is_open:
         raise ConnectionResetError("the caller left")
--- a/tanagerspoke/transport/metrics.py
+++ b/tanagerspoke/transport/metrics.py
@@ -12,11 +12,17 @@
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.transport import caller_server
+from tanagerspoke.transport import duration_histogram
+from tanagerspoke.transport import log_limit
 
 log = logging.getLogger(__name__)
 
 # Share of the calls without fault that are logged.
 _LOG_SAMPLE = 0.001
+# A log line costs about as much as a call; at this rate the lines of a surge
+# of failures cost the gateway well under a percent of a core.
+_CALL_LINES_PER_S = 20.0
+_CALL_LINES_BURST = 100
 _BUCKETS_S = (
     0.0005,
     0.001,
@@ -71,6 +77,11 @@
         self, *, registry: prometheus_client.CollectorRegistry
     ) -> None:
         self._registry = registry
+        self._call_log = log_limit.LogLimit(
+            event="call",
+            rate_per_s=_CALL_LINES_PER_S,
+            burst=_CALL_LINES_BURST,
+        )
         counter = functools.partial(
             prometheus_client.Counter, registry=registry
         )
@@ -91,13 +102,13 @@
             "Objective: latency",
             _CLASS,
         )
-        self.duration = prometheus_client.Histogram(
-            "tanagerspoke_call_duration_seconds",
-            "Time from headers to the last byte of the answer",
-            ("service", "call_class"),
-            buckets=_BUCKETS_S,
-            registry=registry,
+        self.duration = duration_histogram.DurationHistogram(
+            name="tanagerspoke_call_duration_seconds",
+            documentation="Time from headers to the last byte of the answer",
+            labels=("service", "call_class"),
+            bounds_s=_BUCKETS_S,
         )
+        registry.register(self.duration)
         self._late = counter(
             "tanagerspoke_late_replies",
             "Replies after the deadline",
@@ -182,7 +193,9 @@
             late = duration_s > route.objective_latency_s
             self._count_objective(account, record, late)
             account.duration.observe(duration_s)
-        if code != "ok" or late or random.random() < _LOG_SAMPLE:
+        if (
+            code != "ok" or late or random.random() < _LOG_SAMPLE
+        ) and self._call_log.allows(record.client_account):
             log.info(
                 "call",
                 extra={
--- a/tanagerspoke/transport/upstream_client.py
+++ b/tanagerspoke/transport/upstream_client.py
@@ -19,6 +19,7 @@
 from tanagerspoke.protocol import headers
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.transport import answer_stream
+from tanagerspoke.transport import log_limit
 from tanagerspoke.transport import upstream_connection
 
 log = logging.getLogger(__name__)
@@ -33,6 +34,11 @@
 _SWEEP_INTERVAL_S = 5.0
 _WATCH_LATE_S = 30.0
 
+# Generous, since each late or lost reply names a client account that may have
+# to be told; the counters count all of them.
+_REPLY_LINES_PER_S = 100.0
+_REPLY_LINES_BURST = 1000
+
 _HOP_BY_HOP = frozenset(
     (
         "connection",
@@ -353,6 +359,9 @@
         )
         self._reply_timer: asyncio.TimerHandle | None = None
         self._watched: dict[int, Exchange] = {}
+        self._late_log = _reply_log("late_reply")
+        self._lost_log = _reply_log("lost_reply")
+        self._crossed_log = _reply_log("crossed_reply")
         self._on_late = on_late
         self._on_lost = on_lost
 
@@ -472,7 +481,8 @@
 
     def note_crossed(self, exchange: Exchange) -> None:
         """Logs an answer to another request."""
-        log.warning("crossed_reply", extra=_describe(_expected(exchange)))
+        if self._crossed_log.allows(exchange.request.client_account):
+            log.warning("crossed_reply", extra=_describe(_expected(exchange)))
 
     def _handle_reply(self, event: replies.Event) -> None:
         now = self._loop.time()
@@ -494,17 +504,19 @@
                 if exchange is not None and exchange.conn is not None:
                     exchange.conn.close()
             case replies.ReportLate(expected=expected, lateness_s=lateness_s):
-                log.warning(
-                    "late_reply",
-                    extra=_describe(expected)
-                    | {"lateness_ms": round(lateness_s * 1000, 1)},
-                )
+                if self._late_log.allows(expected.client_account):
+                    log.warning(
+                        "late_reply",
+                        extra=_describe(expected)
+                        | {"lateness_ms": round(lateness_s * 1000, 1)},
+                    )
                 self._on_late(expected)
             case replies.ReportLost(expected=expected, reason=reason):
-                log.warning(
-                    "lost_reply",
-                    extra=_describe(expected) | {"reason": reason.value},
-                )
+                if self._lost_log.allows(expected.client_account):
+                    log.warning(
+                        "lost_reply",
+                        extra=_describe(expected) | {"reason": reason.value},
+                    )
                 self._on_lost(expected)
 
     def _sweep(self) -> None:
@@ -519,6 +531,12 @@
         )
 
 
+def _reply_log(event: str) -> log_limit.LogLimit:
+    return log_limit.LogLimit(
+        event=event, rate_per_s=_REPLY_LINES_PER_S, burst=_REPLY_LINES_BURST
+    )
+
+
 def end_to_end_headers(received: Iterable[tuple[str, str]]) -> Headers:
     """Returns the headers that a proxy passes on (RFC 9110, 7.6.1)."""
     kept = []
