Test the gateway in process: errors, slow callers, updates, limits

The tests found that a call stayed registered after the scheduler failed on its arrival; its attempts are now cancelled. An error of the scheduler itself on arrival is still answered with outcome unknown, since an attempt may already be on its way.

--- a/tanagerspoke/transport/dispatcher.py
+++ b/tanagerspoke/transport/dispatcher.py
@@ -121,7 +121,15 @@
             answers={},
         )
         self._running[call.call_id] = running
-        self.handle(calls.Arrive(call=call))
+        try:
+            self.handle(calls.Arrive(call=call))
+        except Exception:
+            # The caller is told; nothing of the call may run on.
+            running.done = True
+            for exchange in list(running.exchanges.values()):
+                exchange.cancel()
+            self._forget_if_ended(running)
+            raise
         return functools.partial(self._leave, running)
 
     @property
--- /dev/null
+++ b/tests/transport/test_caller_connection.py
@@ -0,0 +1,98 @@
+"""A caller's connection over a transport that only records."""
+
+import asyncio
+
+import pytest
+
+from tanagerspoke.transport import caller_connection
+
+
+class Calls:
+    """Records what a connection reports."""
+
+    def __init__(self) -> None:
+        self.seen: list[object] = []
+
+    def open_call(self, conn, message) -> bool:
+        """Accepts every call."""
+        self.seen.append(message.path)
+        conn.call = message
+        return True
+
+    def run_call(self, conn, body: bytes) -> None:
+        """Records the body."""
+        self.seen.append(body)
+
+    def refuse_body(self, conn, *, too_large: bool) -> None:
+        """Records the refusal."""
+        self.seen.append(("refused", too_large))
+
+    def end_call(self, conn) -> None:
+        """Records nothing."""
+        conn.call = None
+
+    def forget(self, conn) -> None:
+        """Records nothing."""
+
+
+def _connection(seen: Calls) -> caller_connection.CallerConnection:
+    return caller_connection.CallerConnection(
+        loop=asyncio.get_running_loop(),
+        handler=seen,
+        max_header_bytes=8000,
+        max_body_bytes=100,
+    )
+
+
+_POST = b"POST /a HTTP/1.1\r\nHost: a\r\n"
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (_POST + b"Content-Length: 7\r\n\r\nlockers",),
+        (_POST + b"Content-Length: 7\r\n\r\n", b"lock", b"ers"),
+        (_POST + b"Transfer-Encoding: chunked\r\n\r\n4\r\nlock\r\n",)
+        + (b"3\r\ners\r\n", b"0\r\n\r\n"),
+    ],
+)
+async def test_body_runs_its_call_exactly_once(parts) -> None:
+    """Guards against the parser's callbacks running a write twice."""
+    seen = Calls()
+    conn = _connection(seen)
+    for part in parts:
+        conn.data_received(part)
+    assert seen.seen == ["/a", b"lockers"]
+
+
+async def test_pipelined_requests_run_one_after_another() -> None:
+    """Guards against a second call before the first one is answered."""
+    seen = Calls()
+    conn = _connection(seen)
+    conn.data_received(
+        b"".join(b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n" % i for i in b"123")
+    )
+    assert seen.seen == ["/49", b""]
+    conn.finish(keep_alive=True)
+    conn.data_received(b"")
+    assert seen.seen == ["/49", b""]
+    await asyncio.sleep(0)
+    assert seen.seen == ["/49", b"", "/50", b""]
+
+
+@pytest.mark.parametrize(
+    ("data", "too_large"),
+    [
+        (b"Content-Length: 101\r\n\r\n" + b"x" * 101, True),
+        (b"Transfer-Encoding: chunked\r\n\r\n65\r\n" + b"x" * 101, True),
+        (b"Transfer-Encoding: chunked\r\n\r\n", False),
+    ],
+)
+async def test_bad_body_is_refused(data: bytes, too_large: bool) -> None:
+    """Guards against a call that waits for ever for its body."""
+    seen = Calls()
+    conn = _connection(seen)
+    conn.data_received(_POST + data)
+    if not too_large:
+        conn.data_received(b"nonsense\r\n")
+    assert seen.seen == ["/a", ("refused", too_large)]
--- /dev/null
+++ b/tests/transport/test_gateway_service.py
@@ -0,0 +1,317 @@
+"""The gateway without its agent: updates, limits and unexpected errors."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+import json
+import re
+
+import pytest
+
+from tanagerspoke.coordination import scheduling
+from tanagerspoke.protocol import agent
+from tanagerspoke.protocol import calls
+from tanagerspoke.protocol import upstreams
+from tanagerspoke.settings import options
+from tanagerspoke.transport import gateway_service
+from tests import stack as stacks
+
+Script = Callable[[asyncio.StreamWriter, str, str], Awaitable[None]]
+_HEAD = "HTTP/1.1 200 OK\r\nTanagerspoke-Request-Id: {}\r\nContent-Length: {}"
+
+
+def _route(prefix: str, call_class: str, **fields) -> dict:
+    return {
+        "path_prefix": prefix,
+        "methods": ["GET", "POST"],
+        "call_class": call_class,
+        "deadline_ms": 20_000,
+        "objective": {"latency_ms": 100, "ratio": 0.99},
+    } | fields
+
+
+def _update(revision: int, services: list[dict]) -> agent.ConfigUpdate:
+    template = {"kind": "template", "name": "t", "services": services}
+    account = {"kind": "client_account", "name": "oulu-shop", "template": "t"}
+    return agent.ConfigUpdate(
+        revision=revision,
+        base_revision=0,
+        items=tuple(
+            agent.Item(
+                kind=body["kind"], name=body["name"], body=json.dumps(body)
+            )
+            for body in (template, account)
+        ),
+    )
+
+
+_MAPS = {
+    "name": "maps",
+    "concurrency": 4,
+    "routes": [
+        _route("/pull", "pull"),
+        _route("/edit", "write", idempotency_key="required"),
+        _route("/", "lookup"),
+    ],
+}
+_OTHER = {"name": "other", "routes": [_route("/", "lookup")]}
+
+
+class Harness:
+    """A gateway in this process, in front of scripted upstreams."""
+
+    def __init__(self) -> None:
+        self.port = stacks.free_port()
+        self.service = gateway_service.GatewayService(
+            cfg=options.Gateway(
+                place=options.Place(**stacks.place("entry-1")),
+                gateway_id="entry-1-1",
+                callers=options.Endpoint(**stacks.endpoint(self.port)),
+                admin=options.Endpoint(**stacks.endpoint(1)),
+                agent=options.Endpoint(**stacks.endpoint(2)),
+                shared_key=stacks.SHARED_KEY,
+            )
+        )
+
+    @contextlib.asynccontextmanager
+    async def serving(self, *scripts: Script) -> AsyncIterator[None]:
+        """Serves while the context is open; upstreams are u0, u1, ..."""
+        service = self.service
+        servers = [
+            await asyncio.start_server(_follow(script), "127.0.0.1", 0)
+            for script in scripts
+        ]
+        listed = tuple(
+            upstreams.Upstream(
+                upstream_id=f"u{number}",
+                service="maps",
+                address="127.0.0.1",
+                port=server.sockets[0].getsockname()[1],
+                availability_zone="az-a",
+                slots=16,
+            )
+            for number, server in enumerate(servers)
+        )
+        await service._client.start()
+        await service._server.start()
+        service._take(_update(1, [_MAPS]))
+        service._take(agent.UpstreamsUpdate(upstreams=listed))
+        try:
+            yield
+        finally:
+            await service._server.close()
+            await service._client.close()
+            for server in servers:
+                server.close()
+
+    async def open(
+        self, path: str, method: str = "GET", extra: str = ""
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Sends a request."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(
+            f"{method} {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+            f"Tanagerspoke-Client-Account: oulu-shop\r\n{extra}\r\n".encode()
+        )
+        return reader, writer
+
+    async def call(
+        self, path: str, method: str = "GET", extra: str = ""
+    ) -> tuple[int, str, bytes]:
+        """Returns status, head and body."""
+        reader, writer = await self.open(path, method, extra)
+        answer = await asyncio.wait_for(reader.read(), stacks.WAIT_S)
+        writer.close()
+        head, _, body = answer.partition(b"\r\n\r\n")
+        return int(head.split()[1]), head.decode(), body
+
+
+def _follow(script: Script):
+    async def on_connection(reader, writer) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                request_id = re.search(r"Request-Id: (\S+)", head)[1]
+                await script(writer, head, request_id)
+                await writer.drain()
+        writer.close()
+
+    return on_connection
+
+
+def _answering(body: bytes) -> Script:
+    async def script(writer, head: str, request_id: str) -> None:
+        head = _HEAD.format(request_id, len(body))
+        writer.write(head.encode() + b"\r\n\r\n" + body)
+
+    return script
+
+
+@pytest.mark.parametrize(
+    ("event", "status", "code", "outcome"),
+    [
+        (None, 500, "internal_error", "not-run"),
+        (calls.Arrive, 504, "outcome_unknown", "unknown"),
+        (calls.AttemptEnded, 504, "outcome_unknown", "unknown"),
+    ],
+)
+async def test_unexpected_error_is_a_json_error(
+    monkeypatch, event, status, code, outcome
+) -> None:
+    """Guards against "not run" for a call that an upstream received."""
+    harness = Harness()
+    handle = scheduling.ServiceScheduler.handle
+
+    def failing(self, *, event: object, now: float):
+        if failing_on is not None and isinstance(event, failing_on):
+            raise RuntimeError("unexpected")
+        return handle(self, event=event, now=now)
+
+    def failing_before(*args: object) -> None:
+        raise RuntimeError("unexpected")
+
+    failing_on = event
+    if event is None:
+        monkeypatch.setattr(harness.service, "_enter_limits", failing_before)
+    monkeypatch.setattr(scheduling.ServiceScheduler, "handle", failing)
+    async with harness.serving(_answering(b"ok")):
+        got, head, body = await harness.call("/maps/x")
+        running = [d.in_flight for d in harness.service._dispatchers.values()]
+    assert sum(running) == 0
+    error = json.loads(body)["error"]
+    assert (got, error["code"], error["outcome"]) == (status, code, outcome)
+    assert f"Tanagerspoke-Outcome: {outcome}" in head
+    assert "unexpected" not in error["message"].replace("an unexpected", "")
+
+
+async def test_slow_caller_keeps_memory_bounded() -> None:
+    """Guards against a long answer piling up for a caller that reads slowly."""
+    size = 96 * 2**20
+    sent = 0
+
+    async def script(writer, head: str, request_id: str) -> None:
+        nonlocal sent
+        writer.write(_HEAD.format(request_id, size).encode() + b"\r\n\r\n")
+        while sent < size:
+            writer.write(b"x" * 2**16)
+            sent += 2**16
+            await writer.drain()
+
+    harness = Harness()
+    async with harness.serving(script):
+        reader, writer = await harness.open("/maps/pull/a")
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), stacks.WAIT_S)
+        [conn] = harness.service._server._conns
+        largest = 0
+
+        async def stalled() -> bool:
+            nonlocal largest
+            before = sent
+            for _ in range(20):
+                await asyncio.sleep(0.01)
+                held = conn.transport.get_write_buffer_size()
+                largest = max(largest, held)
+            return conn.writing_paused and sent == before
+
+        await stacks.wait_until(stalled, "the upstream to be held back")
+        assert sent < size
+        assert largest < 2**20
+        body = await asyncio.wait_for(reader.read(), stacks.WAIT_S)
+        writer.close()
+    assert len(body) == size
+
+
+async def test_load_update_reaches_the_scheduler() -> None:
+    """Guards against probes whose reports change nothing."""
+    harness = Harness()
+    async with harness.serving(_answering(b"u0"), _answering(b"u1")):
+        await harness.call("/maps/x")
+        report = upstreams.LoadReport(
+            in_flight=0, slots=16, phase=upstreams.UpstreamPhase.DRAINING
+        )
+        harness.service._take(
+            agent.LoadUpdate(
+                reports=(agent.ProbedLoad(upstream_id="u0", load=report),)
+            )
+        )
+        bodies = {(await harness.call("/maps/x"))[2] for _ in range(20)}
+    assert bodies == {b"u1"}
+
+
+async def test_fleet_update_divides_limits_over_two_gateways(
+    monkeypatch,
+) -> None:
+    """Guards against an account that gets its limit from each gateway."""
+    told: list[int] = []
+    set_gateways = scheduling.ServiceScheduler.set_gateways
+
+    def recorded(self, gateways: int) -> None:
+        told.append(gateways)
+        set_gateways(self, gateways)
+
+    monkeypatch.setattr(scheduling.ServiceScheduler, "set_gateways", recorded)
+    release = asyncio.Event()
+
+    async def script(writer, head: str, request_id: str) -> None:
+        await release.wait()
+        await _answering(b"ok")(writer, head, request_id)
+
+    pair = (Harness(), Harness())
+    async with pair[0].serving(script), pair[1].serving(script):
+        for harness in pair:
+            harness.service._dispatcher("maps")
+            harness.service._take(agent.FleetUpdate(gateways=2))
+        assert told == [2, 2]
+        running = [
+            asyncio.ensure_future(harness.call("/maps/x"))
+            for harness in pair
+            for _ in range(2)
+        ]
+
+        async def held() -> bool:
+            return all(
+                h.service._dispatchers["maps"].in_flight == 2 for h in pair
+            )
+
+        await stacks.wait_until(held, "the calls to reach the upstreams")
+        for harness in pair:
+            status, head, body = await harness.call("/maps/x")
+            assert status == 429
+            assert re.search(r"\r\nRetry-After: [1-9]", head)
+            error = json.loads(body)["error"]
+            assert error["code"] == "concurrency_limited"
+            assert error["outcome"] == "not-run"
+        release.set()
+        assert [call[0] for call in await asyncio.gather(*running)] == [200] * 4
+        for harness in pair:
+            assert (await harness.call("/maps/x"))[0] == 200
+
+
+async def test_service_deleted_while_its_claim_is_awaited(monkeypatch) -> None:
+    """Guards against an error for a granted write of a deleted service."""
+    harness = Harness()
+    claimed = asyncio.Event()
+    granted = asyncio.Event()
+
+    async def claim(request, *, timeout_s: float) -> agent.Granted:
+        claimed.set()
+        await granted.wait()
+        return agent.Granted()
+
+    async def complete(request, **fields):
+        return agent.CompleteReply()
+
+    monkeypatch.setattr(harness.service._agent, "claim", claim)
+    monkeypatch.setattr(harness.service._agent, "complete", complete)
+    async with harness.serving(_answering(b"ok")):
+        call = asyncio.ensure_future(
+            harness.call("/maps/edit/a", "POST", "Idempotency-Key: k1\r\n")
+        )
+        await asyncio.wait_for(claimed.wait(), stacks.WAIT_S)
+        harness.service._take(_update(2, [_OTHER]))
+        granted.set()
+        status, head, body = await call
+        assert (status, body) == (200, b"ok")
+        assert "Tanagerspoke-Outcome: ran" in head
+        assert (await harness.call("/maps/x"))[0] == 404
+        await harness.service._keyed_writes.close()
