Keep a test stack's ports bound until their programs start

test_probe_only failed once with 'timed out waiting: port 51309 to serve /healthz': the agent could not bind a peer port that had been free a moment before. Ports from bind(0) lie in the range of local ports of outgoing connections, so another process of the stack could take one meanwhile. A stack now keeps each port bound, without listening and with SO_REUSEADDR and SO_REUSEPORT, until it is closed.

--- a/tests/stack.py
+++ b/tests/stack.py
@@ -135,9 +135,10 @@
     def __init__(self, *, directory: pathlib.Path) -> None:
         self._directory = directory
         self._processes: dict[str, Process] = {}
+        self._held_ports: list[socket.socket] = []
         self.http: aiohttp.ClientSession | None = None
-        self.platform_port = free_port()
-        self.caller_port = free_port()
+        self.platform_port = self._take_port()
+        self.caller_port = self._take_port()
         self.caller_ports: dict[str, int] = {}
         self.agent_ports: dict[str, int] = {}
         self.peer_ports: dict[str, int] = {}
@@ -163,6 +164,23 @@
             process.kill()
         if self.http is not None:
             await self.http.close()
+        for sock in self._held_ports:
+            sock.close()
+
+    def _take_port(self) -> int:
+        """Returns a free port that stays bound until `close`.
+
+        A port that is only free may become the local port of an outgoing
+        connection before its program starts. A bound socket that does not
+        listen prevents that, and with both options set a program can still
+        bind the port.
+        """
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(("127.0.0.1", 0))
+        self._held_ports.append(sock)
+        return sock.getsockname()[1]
 
     def run(
         self, name: str, command: list[str], settings: dict[str, Any]
@@ -215,7 +233,7 @@
         self, name: str, service: str, **settings: Any
     ) -> Process:
         """Starts an upstream's stand-in and waits until it answers."""
-        port = free_port()
+        port = self._take_port()
         self.upstream_ports[name] = port
         process = self.run(
             name,
@@ -235,9 +253,9 @@
     async def add_agent(self, host: str, **settings: Any) -> Process:
         """Starts the agent of a host and lists the host at the platform."""
         name = f"agent-{host}"
-        self.agent_ports.setdefault(host, free_port())
-        self.peer_ports.setdefault(host, free_port())
-        self.admin_ports[name] = free_port()
+        self.agent_ports.setdefault(host, self._take_port())
+        self.peer_ports.setdefault(host, self._take_port())
+        self.admin_ports[name] = self._take_port()
         process = self.run(
             name,
             ["tanagerspoke-agent"],
@@ -277,11 +295,11 @@
     ) -> Process:
         """Starts a gateway of a host."""
         name = f"gateway-{host}-{number}"
-        self.admin_ports[name] = free_port()
+        self.admin_ports[name] = self._take_port()
         if not self.caller_ports:
             self.caller_ports[host] = self.caller_port
         if host not in self.caller_ports:
-            self.caller_ports[host] = free_port()
+            self.caller_ports[host] = self._take_port()
         process = self.run(
             name,
             ["tanagerspoke-gateway"],
