Test configuration with stale reads, lost answers and an old peer

Real agents, gateways and operator commands; the gateways' revision metric is sampled and must never go back, and a change must be in force everywhere 11 s after it was accepted.

--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -2,14 +2,22 @@
 
 import asyncio
 import json
+import logging
 import pathlib
 import shutil
 import signal
+import time
 
+import grpc.aio
+import msgspec
 import pytest
 
+from tanagerspoke.protocol import codec
+from tanagerspoke.protocol import peer
 from tests import stack as stacks
 
+log = logging.getLogger(__name__)
+
 
 @pytest.fixture
 def directory(tmp_path: pathlib.Path) -> pathlib.Path:
@@ -210,3 +218,181 @@
         return f"tanagerspoke_peers {float(count)}".encode() in body
 
     await stacks.wait_until(known, f"{name} to know {count} peers")
+
+
+# The stated target: accepted is in force everywhere, seconds.
+_IN_FORCE_S = 11.0
+
+
+class _Revisions:
+    """Samples the revisions in force in gateways; they never go back."""
+
+    def __init__(self, stack: stacks.Stack, names: list[str]) -> None:
+        self._stack = stack
+        self._names = names
+        self._last = dict.fromkeys(names, 0.0)
+
+    async def lowest(self) -> float:
+        """Returns the lowest revision in force."""
+        for name in self._names:
+            revision = await self._stack.metric(
+                name, "tanagerspoke_config_revision"
+            )
+            assert revision >= self._last[name], name
+            self._last[name] = revision
+        return min(self._last.values())
+
+    async def wait(self, revision: int) -> None:
+        """Waits at most the target for a revision just accepted."""
+        accepted_at = time.monotonic()
+        while True:
+            asked_at = time.monotonic()
+            if await self.lowest() >= revision:
+                break
+            assert asked_at - accepted_at <= _IN_FORCE_S, self._last
+            await asyncio.sleep(0.05)
+        took_s = time.monotonic() - accepted_at
+        log.info("revision %d in force after %.2f s", revision, took_s)
+
+    async def watch(self, seconds: float) -> None:
+        """Samples for a while."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            await self.lowest()
+            await asyncio.sleep(0.05)
+
+
+async def _start_hosts(stack: stacks.Stack, count: int) -> _Revisions:
+    await stack.add_all(upstreams={}, hosts=count)
+    return _Revisions(
+        stack, [f"gateway-entry-{number + 1}-1" for number in range(count)]
+    )
+
+
+async def _apply(stack: stacks.Stack, directory: pathlib.Path) -> int:
+    code, output = await stack.ctl("apply", str(directory))
+    assert code == 0, output
+    row = await _head(stack)
+    return row["revision"]
+
+
+async def _head(stack: stacks.Stack) -> dict[str, object]:
+    _, body = await stack.get(
+        stack.platform_port, "/table/scan?prefix=config/head"
+    )
+    return json.loads(json.loads(body)["rows"][0]["value"])
+
+
+async def test_stale_reads_never_revert(
+    stack: stacks.Stack, directory: pathlib.Path
+) -> None:
+    """Guards against an agent that takes an older head for a change."""
+    revisions = await _start_hosts(stack, 3)
+    await revisions.wait(await _apply(stack, directory))
+    for x in (50, 60, 70):
+        _set_parameters(directory, "reykjavik-desk", lookups_per_s=x)
+        await stack.faults("platform")
+        await revisions.wait(await _apply(stack, directory))
+        await stack.faults("platform", stale_reads_s=8.0)
+        await revisions.watch(4.0)
+
+
+async def test_lost_commit_answer_is_one_revision(
+    stack: stacks.Stack, directory: pathlib.Path
+) -> None:
+    """Guards against a second revision after a commit without an answer."""
+    revisions = await _start_hosts(stack, 2)
+    await revisions.wait(await _apply(stack, directory))
+    await stack.faults("platform", lose_table_answers=True)
+    _set_parameters(directory, "reykjavik-desk", lookups_per_s=50)
+    command = asyncio.create_task(stack.ctl("apply", str(directory)))
+
+    async def committed() -> bool:
+        return (await _head(stack))["revision"] == 2
+
+    await stacks.wait_until(committed, "the change to be committed")
+    # Each repeat loses its answer as well until the fault ends.
+    await stack.faults("platform")
+    code, output = await command
+    assert code == 0, output
+    await revisions.wait(2)
+    assert (await _head(stack))["revision"] == 2
+
+
+async def test_two_operators_on_one_template(
+    stack: stacks.Stack, directory: pathlib.Path, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a lost change of two operators at the same moment."""
+    revisions = await _start_hosts(stack, 2)
+    await revisions.wait(await _apply(stack, directory))
+    other = pathlib.Path(shutil.copytree(directory, tmp_path / "other"))
+    for path, value in ((directory, 111), (other, 222)):
+        template = json.loads((path / "day-packages.json").read_text())
+        template["parameters"]["lookups-per-s"]["default"] = value
+        (path / "day-packages.json").write_text(json.dumps(template))
+    # The delay makes both read the same head before either commits.
+    await stack.faults("platform", table_delay_ms=500.0)
+    results = await asyncio.gather(
+        stack.ctl("apply", str(directory)), stack.ctl("apply", str(other))
+    )
+    await stack.faults("platform")
+    assert sorted(code for code, _ in results) == [0, 3], results
+    refused = next(output for code, output in results if code == 3)
+    assert "111" in refused
+    assert "222" in refused
+    assert (await _head(stack))["revision"] == 2
+    await revisions.wait(2)
+
+
+async def test_agent_frozen_through_three_revisions(
+    stack: stacks.Stack, directory: pathlib.Path
+) -> None:
+    """Guards against a paused agent that skips or reverts a revision."""
+    revisions = await _start_hosts(stack, 3)
+    await revisions.wait(await _apply(stack, directory))
+    agent = stack["agent-entry-3"]
+    agent.freeze()
+    for x in (50, 60, 70):
+        _set_parameters(directory, "reykjavik-desk", lookups_per_s=x)
+        revision = await _apply(stack, directory)
+    await revisions.watch(2.0)
+    agent.resume()
+    await revisions.wait(revision)
+    await revisions.watch(2.0)
+
+
+async def test_old_peer_never_reverts(
+    stack: stacks.Stack, directory: pathlib.Path
+) -> None:
+    """Guards against a peer's older configuration that replaces a newer."""
+    revisions = await _start_hosts(stack, 2)
+    await revisions.wait(await _apply(stack, directory))
+    _set_parameters(directory, "reykjavik-desk", lookups_per_s=50)
+    await revisions.wait(await _apply(stack, directory))
+    old = peer.HostSummary(
+        host="entry-old",
+        address="127.0.0.1",
+        port=stacks.free_port(),
+        incarnation=1,
+        sequence=1,
+        gateways=0,
+        revision=1,
+    )
+    target = f"127.0.0.1:{stack.peer_ports['entry-1']}"
+    key = (("tanagerspoke-key", stacks.SHARED_KEY),)
+    async with grpc.aio.insecure_channel(target) as channel:
+        method = channel.unary_unary(f"/{peer.SERVICE}/Exchange")
+        for sequence in range(1, 6):
+            heartbeat = peer.Heartbeat(
+                sender=msgspec.structs.replace(old, sequence=sequence),
+                gateways=(),
+                others=(),
+                drain_marks=(),
+            )
+            answer = await method(
+                codec.encode(heartbeat), metadata=key, timeout=10.0
+            )
+            answered = msgspec.msgpack.decode(answer, type=peer.Heartbeat)
+            assert answered.sender.revision == 2
+            await revisions.watch(0.5)
+    assert await revisions.lowest() == 2
