Test TLS between gateway, agents and peers

A gateway or an agent with a certificate of a foreign authority is kept out, as is a channel without TLS; over TLS a wrong key and a malformed message are refused and counted.

--- a/tests/processes/test_membership.py
+++ b/tests/processes/test_membership.py
@@ -1,9 +1,16 @@
 """Membership, drain marks and the control budget with real agents."""
 
 import asyncio
+import datetime
+import ipaddress
+import pathlib
 import re
 import time
 
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
 import grpc
 import grpc.aio
 import pytest
@@ -12,6 +19,7 @@
 from tanagerspoke.protocol import peer
 from tanagerspoke.settings import options
 from tanagerspoke.transport import grpc_agent
+from tanagerspoke.transport import grpc_security
 from tests import stack as stacks
 
 _HOSTS = tuple(f"entry-{n}" for n in range(1, 4))
@@ -119,3 +127,105 @@
         await stacks.wait_until(probed, f"{host} to probe")
         spent = await _metric(stack, host, name)
         assert spent <= 4096 * (time.monotonic() - started)
+
+
+def _write_certificates(directory: pathlib.Path) -> dict[str, str]:
+    """Writes an authority and a certificate for 127.0.0.1; gives options."""
+    now = datetime.datetime.now(datetime.UTC)
+    authority_key = ec.generate_private_key(ec.SECP256R1())
+    key = ec.generate_private_key(ec.SECP256R1())
+    authority_name = _certificate_name("authority")
+
+    def builder(
+        name: x509.Name, public_key: ec.EllipticCurvePublicKey
+    ) -> x509.CertificateBuilder:
+        return (
+            x509.CertificateBuilder()
+            .subject_name(name)
+            .issuer_name(authority_name)
+            .public_key(public_key)
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - datetime.timedelta(hours=1))
+            .not_valid_after(now + datetime.timedelta(hours=1))
+        )
+
+    authority = (
+        builder(authority_name, authority_key.public_key())
+        .add_extension(x509.BasicConstraints(ca=True, path_length=0), True)
+        .sign(authority_key, hashes.SHA256())
+    )
+    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    certificate = (
+        builder(_certificate_name("node"), key.public_key())
+        .add_extension(x509.SubjectAlternativeName([address]), False)
+        .sign(authority_key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    contents = {
+        "authority_file": authority.public_bytes(pem),
+        "certificate_file": certificate.public_bytes(pem),
+        "private_key_file": key.private_bytes(
+            pem,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        ),
+    }
+    directory.mkdir()
+    for name, content in contents.items():
+        (directory / name).write_bytes(content)
+    return {name: str(directory / name) for name in contents}
+
+
+def _certificate_name(name: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, name)])
+
+
+async def test_tls_between_gateway_agent_and_peers(
+    stack: stacks.Stack, tmp_path: pathlib.Path
+) -> None:
+    """Guards against links that skip TLS or trust a foreign authority."""
+    tls = _write_certificates(tmp_path / "own")
+    foreign = _write_certificates(tmp_path / "foreign")
+    for host in _HOSTS:
+        await stack.add_agent(host, tls=foreign if host == "entry-3" else tls)
+    await stack.add_upstream("catalogue-1", "package-catalogue")
+    await stack.add_gateway("entry-1", tls=tls)
+    await stack.add_gateway("entry-2", tls=foreign)
+    code, output = await stack.ctl("apply", str(stacks.EXAMPLES / "hverasel"))
+    assert code == 0, output
+    await stack.wait_ready("gateway-entry-1-1")
+
+    # A peer counts once a heartbeat of it was heard.
+    for host in ("entry-1", "entry-2"):
+        await _wait_peers(stack, host, 1)
+    assert await _metric(stack, "entry-3", "tanagerspoke_peers") == 0
+    for name in ("agent-entry-1", "agent-entry-2"):
+        await stack.wait_ready(name)
+    status, _ = await stack.get(
+        stack.admin_ports["gateway-entry-2-1"], "/readyz"
+    )
+    assert status == 503
+    target = f"127.0.0.1:{stack.peer_ports['entry-1']}"
+    key = (("tanagerspoke-key", stacks.SHARED_KEY),)
+    for channel in (
+        grpc.aio.insecure_channel(target),
+        grpc_security.channel(target=target, tls=options.Tls(**foreign)),
+    ):
+        async with channel:
+            method = channel.unary_unary(f"/{peer.SERVICE}/Exchange")
+            with pytest.raises(grpc.aio.AioRpcError) as caught:
+                await method(b"", metadata=key, timeout=10.0)
+            assert caught.value.code() is grpc.StatusCode.UNAVAILABLE
+    channel = grpc_security.channel(target=target, tls=options.Tls(**tls))
+    async with channel:
+        method = channel.unary_unary(f"/{peer.SERVICE}/Exchange")
+        for metadata, expected in (
+            ((("tanagerspoke-key", "a wrong key"),), "UNAUTHENTICATED"),
+            (key, "INVALID_ARGUMENT"),
+        ):
+            with pytest.raises(grpc.aio.AioRpcError) as caught:
+                await method(b"\x01junk", metadata=metadata, timeout=10.0)
+            assert caught.value.code().name == expected
+    name = "tanagerspoke_peer_messages_refused_total"
+    for reason in ("shared_key", "malformed"):
+        assert await _metric(stack, "entry-1", name, kind=reason) == 1
