Make the constructors of the new test classes keyword-only

test_constructors_are_keyword_only failed for _Load, _Work and _Revisions. Result (python -m pytest tests/test_house_style.py tests/processes/test_draining.py::test_header_seen_by_one_host tests/processes/test_configuration.py::test_lost_commit_answer_is_one_revision): 10 passed in 25 s.

--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -227,7 +227,7 @@
 class _Revisions:
     """Samples the revisions in force in gateways; they never go back."""
 
-    def __init__(self, stack: stacks.Stack, names: list[str]) -> None:
+    def __init__(self, *, stack: stacks.Stack, names: list[str]) -> None:
         self._stack = stack
         self._names = names
         self._last = dict.fromkeys(names, 0.0)
@@ -264,9 +264,8 @@
 
 async def _start_hosts(stack: stacks.Stack, count: int) -> _Revisions:
     await stack.add_all(upstreams={}, hosts=count)
-    return _Revisions(
-        stack, [f"gateway-entry-{number + 1}-1" for number in range(count)]
-    )
+    names = [f"gateway-entry-{number + 1}-1" for number in range(count)]
+    return _Revisions(stack=stack, names=names)
 
 
 async def _apply(stack: stacks.Stack, directory: pathlib.Path) -> int:
--- a/tests/processes/test_draining.py
+++ b/tests/processes/test_draining.py
@@ -110,7 +110,7 @@
 class _Load:
     """Steady lookups at some hosts; every one must be answered."""
 
-    def __init__(self, stack: stacks.Stack) -> None:
+    def __init__(self, *, stack: stacks.Stack) -> None:
         self._stack = stack
         self._tasks: list[asyncio.Task[None]] = []
         self.answered = dict.fromkeys(_HOSTS, 0)
@@ -138,7 +138,7 @@
 class _Work:
     """Samples how many lookups an upstream started."""
 
-    def __init__(self, stack: stacks.Stack, upstream: str) -> None:
+    def __init__(self, *, stack: stacks.Stack, upstream: str) -> None:
         self._stack = stack
         self._upstream = upstream
         self._count = -1
@@ -204,9 +204,9 @@
             no response of the upstream, get theirs at the target.
         give_news: makes the upstream leave; returns the time of the news.
     """
-    load = _Load(stack)
+    load = _Load(stack=stack)
     async with _running_pull(stack) as upstream:
-        work = _Work(stack, upstream)
+        work = _Work(stack=stack, upstream=upstream)
         load.start(loaded)
         before = await work.count()
 
