Divide the waiting places at upstreams over the gateways

Cause of fewer useful lookups in a demand surge: the gateways did not get even parts of the slots. A gateway was entitled to its part of the slots (5 of 27); the quarter more that may wait at upstreams went to whoever was told first of a free slot, that is to the gateway whose call had just ended, which so kept it.

Change: a gateway is entitled to 1.25 times its part, rounded up; beyond that only a tenth of an upstream's slots may wait.

--- a/tanagerspoke/coordination/balancing.py
+++ b/tanagerspoke/coordination/balancing.py
@@ -24,9 +24,10 @@
 # An upstream this much slower than the service's mean gets one call at a
 # time, which is enough to learn that it has recovered.
 _SLOW_RATIO = 2.0
-# Calls that may wait at an upstream, as a share of its slots. Zero would idle
-# a slot whenever an estimate is too high.
-_BACKLOG_SHARE = 0.25
+# Calls that may wait at an upstream beyond what its gateways are entitled to,
+# as a share of its slots. Zero would idle a slot whenever an estimate is too
+# high; a large share lets one gateway take the others' part of the slots.
+_BACKLOG_SHARE = 0.1
 
 
 class Balancer:
--- a/tanagerspoke/coordination/scheduling.py
+++ b/tanagerspoke/coordination/scheduling.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import heapq
+import math
 
 from tanagerspoke.coordination import admission
 from tanagerspoke.coordination import balancing
@@ -35,6 +36,10 @@
 # times the mean duration of its class.
 _TIMEOUT_RATIO = 3.0
 _HEDGE_TRIES = 3
+# Attempts that a gateway may always have in flight, as a multiple of its part
+# of the slots. Above 1, so that the calls waiting at upstreams are divided
+# evenly too: who is told first of a free slot would otherwise keep taking it.
+_ENTITLED_SHARE = 1.25
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -255,7 +260,7 @@
             tried = ()
         total = self._view.total_slots
         entitled = not self._on.queue or self._own < max(
-            1, total // self._gateways
+            1, math.ceil(_ENTITLED_SHARE * total / self._gateways)
         )
         return self._balancer.choose(
             call_class=call_class,
