Weigh crowding of upstreams more in the choice

Cause of map views slower than 1.2 times alone: the estimate of the other gateways' calls is decayed towards the mean, so a nearly full upstream in the gateway's zone still won over an emptier one and a lookup queued behind a pull.

Change: weight of crowding from 3 to 8.

--- a/tanagerspoke/coordination/balancing.py
+++ b/tanagerspoke/coordination/balancing.py
@@ -15,7 +15,7 @@
 _MAX_CANDIDATES = 16
 # Weight of crowding among upstreams with a free slot: the estimate of the
 # other gateways' calls is uncertain, so an emptier upstream is safer.
-_CROWDING_WEIGHT = 3.0
+_CROWDING_WEIGHT = 8.0
 # Pulls avoid busy upstreams more strongly: where several of them meet, short
 # calls wait. Both weights: lookup p99 of bench.policy mapview.
 _PULL_SPREAD = 3.0
