--- /dev/null
+++ b/tests/coordination/test_fleet.py
@@ -0,0 +1,185 @@
+"""Properties of several gateways that share one service's upstreams."""
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from bench import fake_upstreams
+from tanagerspoke.coordination import scheduling
+from tanagerspoke.protocol import calls
+from tests.coordination import helpers
+
+_GATEWAYS = 5
+_SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=10
+)
+
+
+class _Fleet:
+    """Gateways with fake upstreams in virtual time."""
+
+    def __init__(self, *, seed: int, upstreams: int, slots: int) -> None:
+        self.clock = fake_upstreams.Clock()
+        self.rng = random.Random(seed)
+        listed = helpers.make_upstreams(upstreams, slots=slots)
+        self.fakes = {
+            u.upstream_id: fake_upstreams.FakeUpstream(
+                clock=self.clock, upstream=u, stale_s=0.0
+            )
+            for u in listed
+        }
+        self.gateways = [self._gateway(n, seed) for n in range(_GATEWAYS)]
+        for gateway in self.gateways:
+            gateway.handle(calls.UpstreamsChanged(upstreams=listed))
+        self._call_ids = iter(range(1_000_000))
+
+    def _gateway(self, number: int, seed: int) -> fake_upstreams.Gateway:
+        zone = "abc"[number % 3]
+        return fake_upstreams.Gateway(
+            clock=self.clock,
+            scheduler=scheduling.ServiceScheduler(
+                availability_zone=zone,
+                pull_slot_share=0.5,
+                rng=random.Random(seed * 100 + number),
+                gateways=_GATEWAYS,
+            ),
+            zone=zone,
+            fakes=self.fakes,
+            service_s=self._service_s,
+        )
+
+    def _service_s(self, call: calls.Call, attempt: int) -> float:
+        del attempt
+        if call.call_class is helpers.PULL:
+            return 0.3
+        return fake_upstreams.service_time(mean_s=0.02, sigma=0.3, rng=self.rng)
+
+    def load(
+        self,
+        *,
+        start: float,
+        end: float,
+        rate: float,
+        call_class: calls.CallClass = helpers.LOOKUP,
+    ) -> None:
+        """Plans calls at random gateways."""
+        at = start + self.rng.expovariate(rate)
+        while at < end:
+            call = helpers.make_call(
+                next(self._call_ids),
+                call_class,
+                now=at,
+                deadline_s=1.0 if call_class is helpers.LOOKUP else 20.0,
+                account=f"account-{self.rng.randrange(8)}",
+            )
+            self.clock.at(at, self.rng.choice(self.gateways).arrive, call)
+            at += self.rng.expovariate(rate)
+
+    def watch(self, *, start: float, end: float, probe) -> None:
+        """Plans a probe of the fleet every 2 ms."""
+        for step in range(int((end - start) / 0.002)):
+            self.clock.at(start + step * 0.002, probe)
+
+
+@_SETTINGS
+@hypothesis.given(
+    seed=st.integers(1, 10_000), shape=st.sampled_from([(9, 3), (10, 4)])
+)
+def test_pulls_of_the_fleet_leave_slots_to_lookups(seed, shape):
+    """Guards against a pull share that every gateway takes for itself.
+
+    Beyond its own part a gateway relies on reports of the others' calls, so
+    the bound over the fleet, three quarters, is looser than the share.
+    """
+    upstreams, slots = shape
+    fleet = _Fleet(seed=seed, upstreams=upstreams, slots=slots)
+    total = upstreams * slots
+    fleet.load(start=0.0, end=3.0, rate=4 * total, call_class=helpers.PULL)
+    fleet.load(start=0.0, end=3.0, rate=0.3 * total / 0.02)
+    most = [0]
+
+    def probe() -> None:
+        pulls = sum(
+            job.call.call_class is helpers.PULL
+            for gateway in fleet.gateways
+            for job in gateway._jobs.values()
+        )
+        most[0] = max(most[0], pulls)
+
+    fleet.watch(start=0.5, end=3.0, probe=probe)
+    fleet.clock.run()
+    assert most[0] >= _GATEWAYS
+    assert most[0] <= 0.75 * total
+
+
+@_SETTINGS
+@hypothesis.given(seed=st.integers(1, 10_000))
+def test_step_of_load_does_not_herd(seed):
+    """Guards against gateways that all choose the same upstream.
+
+    In the 200 ms after a step from 10 % to 40 % of the capacity no upstream
+    gets more than 1.6 times its fair share.
+    """
+    fleet = _Fleet(seed=seed, upstreams=9, slots=3)
+    capacity = 27 / 0.02
+    fleet.load(start=0.0, end=1.0, rate=0.1 * capacity)
+    fleet.load(start=1.0, end=1.2, rate=0.4 * capacity)
+    received = collections.Counter()
+    for upstream_id, fake in fleet.fakes.items():
+        receive = fake.receive
+
+        def count(job, upstream_id=upstream_id, receive=receive):
+            received[upstream_id] += fleet.clock.now >= 1.0
+            receive(job)
+
+        fake.receive = count
+    fleet.clock.run()
+    fair = sum(received.values()) / 9
+    assert max(received.values()) <= 1.6 * fair
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_surge_is_shared_by_the_gateways(seed):
+    """Guards against a gateway that keeps the slots of the others.
+
+    Every gateway has between 0.9 and 1.15 times the mean of the attempts in
+    flight.
+    """
+    fleet = _Fleet(seed=seed, upstreams=10, slots=4)
+    fleet.load(start=0.0, end=3.0, rate=1.4 * 40 / 0.02)
+    held = collections.Counter()
+
+    def probe() -> None:
+        for number, gateway in enumerate(fleet.gateways):
+            held[number] += gateway.scheduler.in_flight
+
+    fleet.watch(start=0.5, end=3.0, probe=probe)
+    fleet.clock.run()
+    mean = sum(held.values()) / _GATEWAYS
+    assert min(held.values()) >= 0.9 * mean
+    assert max(held.values()) <= 1.15 * mean
+
+
+@_SETTINGS
+@hypothesis.given(seed=st.integers(1, 10_000))
+def test_slow_upstream_that_reports_no_load_loses_its_share(seed):
+    """Guards against trust in a report of zero load from a slow upstream."""
+    fleet = _Fleet(seed=seed, upstreams=9, slots=3)
+    slow = fleet.fakes["u0"]
+    slow.slow_factor = 10.0
+    slow.reported_in_flight = 0
+    fleet.load(start=0.0, end=3.0, rate=0.4 * 27 / 0.02)
+    received = collections.Counter()
+    for upstream_id, fake in fleet.fakes.items():
+        receive = fake.receive
+
+        def count(job, upstream_id=upstream_id, receive=receive):
+            received[upstream_id] += fleet.clock.now >= 1.0
+            receive(job)
+
+        fake.receive = count
+    fleet.clock.run()
+    assert received["u0"] <= 0.25 * sum(received.values()) / 9
--- a/tests/state/test_loads.py
+++ b/tests/state/test_loads.py
@@ -2,6 +2,9 @@
 
 import random
 
+import hypothesis
+from hypothesis import strategies as st
+
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.state import loads
 from tests.coordination import helpers
@@ -45,3 +48,21 @@
     record = loads.UpstreamLoad(upstream=helpers.make_upstreams(1, slots=4)[0])
     record.ramp_from = 0.0
     assert [record.limit(t) for t in (0.0, 2.5, 6.0)] == [1, 2, 4]
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(
+    slots=st.integers(1, 64),
+    times=st.lists(st.floats(0.0, 10.0), min_size=1, max_size=30),
+)
+def test_ramp_never_falls_and_ends_with_every_slot(slots, times):
+    """Guards against a ramp that overshoots, falls back or never ends."""
+    listed = helpers.make_upstreams(1, slots=slots)
+    record = loads.UpstreamLoad(upstream=listed[0])
+    record.slots = slots
+    record.ramp_from = 0.0
+    limits = [record.limit(now) for now in sorted(times)]
+    assert limits == sorted(limits)
+    for now, limit in zip(sorted(times), limits, strict=True):
+        assert 1 <= limit <= max(1, slots * (0.1 + now / 5.0) + 1e-6)
+    assert record.limit(5.0) == slots
