--- a/tanagerspoke/coordination/scheduling.py
+++ b/tanagerspoke/coordination/scheduling.py
@@ -6,8 +6,8 @@
 
 from tanagerspoke.coordination import admission
 from tanagerspoke.coordination import balancing
-from tanagerspoke.coordination import ejection
 from tanagerspoke.coordination import hedging
+from tanagerspoke.coordination import learning
 from tanagerspoke.coordination import retries
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
@@ -15,8 +15,6 @@
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.state import loads
 
-_DEFAULT_LATENCY_S = 0.01
-_MEAN_WEIGHT = 0.05
 # Together under the 5 % of extra load that hedges and retries may cause.
 _HEDGE_SHARE = 0.035
 _RETRY_SHARE = 0.01
@@ -32,9 +30,6 @@
 _MIN_QUEUE = 64
 _NO_UPSTREAM_RETRY_AFTER_S = 1.0
 _MIN_RETRY_AFTER_S = 0.1
-# A timeout says something about the upstream only if the call had this many
-# times the mean duration of its class.
-_TIMEOUT_RATIO = 3.0
 _HEDGE_TRIES = 3
 # Attempts that a gateway may always have in flight, as a multiple of its part
 # of the slots. Above 1, so that the calls waiting at upstreams are divided
@@ -116,16 +111,16 @@
             ),
             rng=rng,
         )
-        self._ejector = ejection.Ejector(view=self._view)
+        self._learner = learning.ResultLearner(
+            view=self._view, eject=self._on.ejection
+        )
         self._queue = admission.AdmissionQueue(use_classes=self._on.classes)
-        self._hedge_delay = hedging.HedgeDelay()
         self._hedge_budget = retries.TokenBudget(
             share=_HEDGE_SHARE, capacity=_BUDGET_CAPACITY
         )
         self._retry_budget = retries.TokenBudget(
             share=_RETRY_SHARE, capacity=_BUDGET_CAPACITY
         )
-        self._latency_s: dict[calls.CallClass, float] = {}
         self._calls: dict[int, _CallState] = {}
         self._own = 0
         self._own_pulls = 0
@@ -264,7 +259,7 @@
         )
         return self._balancer.choose(
             call_class=call_class,
-            mean_latency_s=self._latency_s.get(call_class, _DEFAULT_LATENCY_S),
+            mean_latency_s=self._learner.mean_latency_s(call_class),
             now=now,
             tried=tried,
             entitled=entitled,
@@ -323,7 +318,14 @@
         if event.load is not None:
             self._view.report(record=attempt.record, load=event.load, now=now)
         self._release(state.call, attempt)
-        self._learn(state.call, attempt, event.result, now)
+        self._learner.learn(
+            call=state.call,
+            record=attempt.record,
+            result=event.result,
+            is_hedge=attempt.is_hedge,
+            elapsed_s=now - attempt.started_at,
+            now=now,
+        )
         if state.done:
             self._forget(state)
             return
@@ -347,74 +349,6 @@
             self._own_pulls -= 1
         self._view.released(record)
 
-    def _learn(
-        self,
-        call: calls.Call,
-        attempt: _Attempt,
-        result: calls.AttemptResult,
-        now: float,
-    ) -> None:
-        record = attempt.record
-        elapsed_s = now - attempt.started_at
-        match result:
-            case calls.Answered(failed=False):
-                self._learn_duration(call, record, elapsed_s, now)
-                self._ejector.succeeded(record)
-            case calls.Cancelled():
-                # Not a failure, but the attempt lasted at least this long.
-                self._learn_slow(call, record, elapsed_s, now)
-                if not attempt.is_hedge and hedging.may_hedge(call):
-                    self._hedge_delay.learn(elapsed_s)
-            case calls.TimedOut():
-                self._learn_slow(call, record, elapsed_s, now)
-                mean_s = self._latency_s.get(
-                    call.call_class, _DEFAULT_LATENCY_S
-                )
-                if elapsed_s >= _TIMEOUT_RATIO * mean_s:
-                    self._count_failure(record, now)
-            case calls.Shed():
-                record.learn_failure(now)
-            case _:
-                self._count_failure(record, now)
-
-    def _count_failure(self, record: loads.UpstreamLoad, now: float) -> None:
-        record.learn_failure(now)
-        if self._on.ejection:
-            self._ejector.failed(record=record, now=now)
-
-    def _learn_duration(
-        self,
-        call: calls.Call,
-        record: loads.UpstreamLoad,
-        elapsed_s: float,
-        now: float,
-    ) -> None:
-        call_class = call.call_class
-        mean_s = self._latency_s.get(call_class)
-        if mean_s is None:
-            mean_s = self._latency_s[call_class] = max(elapsed_s, 1e-6)
-        record.learn_duration(
-            ratio=elapsed_s / mean_s,
-            pull=call_class is calls.CallClass.PULL,
-            now=now,
-        )
-        self._latency_s[call_class] = max(
-            1e-6, mean_s + _MEAN_WEIGHT * (elapsed_s - mean_s)
-        )
-        if call_class is calls.CallClass.LOOKUP:
-            self._hedge_delay.learn(elapsed_s)
-
-    def _learn_slow(
-        self,
-        call: calls.Call,
-        record: loads.UpstreamLoad,
-        elapsed_s: float,
-        now: float,
-    ) -> None:
-        mean_s = self._latency_s.get(call.call_class)
-        if mean_s is not None and call.call_class is not calls.CallClass.PULL:
-            record.learn_slow(ratio=elapsed_s / mean_s, now=now)
-
     def _settle(
         self,
         state: _CallState,
@@ -581,7 +515,7 @@
                 self._finish(state, actions)
 
     def _arm_hedge(self, call: calls.Call, now: float) -> None:
-        delay_s = self._hedge_delay.delay_s
+        delay_s = self._learner.hedge_delay_s
         if delay_s is not None and now + delay_s < call.deadline:
             heapq.heappush(self._hedges, (now + delay_s, call.call_id))
 
@@ -619,7 +553,12 @@
     ) -> None:
         call = state.call
         (attempt,) = state.attempts.values()
-        self._learn_slow(call, attempt.record, now - attempt.started_at, now)
+        self._learner.learn_slow(
+            call=call,
+            record=attempt.record,
+            elapsed_s=now - attempt.started_at,
+            now=now,
+        )
         if state.attempt_count >= _MAX_ATTEMPTS or now >= call.deadline:
             return
         record = None
@@ -650,7 +589,7 @@
         return max(_MIN_QUEUE, _QUEUE_PER_SLOT * self._view.total_slots)
 
     def _expires_at(self, call: calls.Call) -> float:
-        mean_s = self._latency_s.get(call.call_class, _DEFAULT_LATENCY_S)
+        mean_s = self._learner.mean_latency_s(call.call_class)
         margin_s = _SERVICE_MARGIN * mean_s
         # A call whose whole time is short may still wait for half of it.
         half_s = 0.5 * (call.deadline - call.arrived_at)
@@ -659,7 +598,7 @@
     def _expected_wait_s(self, call: calls.Call) -> float:
         wait_s = 0.0
         for call_class, ahead in self._queue.ahead_of(call).items():
-            mean_s = self._latency_s.get(call_class, _DEFAULT_LATENCY_S)
+            mean_s = self._learner.mean_latency_s(call_class)
             if call_class is calls.CallClass.PULL and self._on.classes:
                 parallel = self._pull_cap()
             else:
