--- a/tanagerspoke/coordination/budget.py
+++ b/tanagerspoke/coordination/budget.py
@@ -56,8 +56,9 @@
 
 # Kinds that go on while processor time or memory is overspent: claims of a
 # demand surge use the same process and must not hold up a configuration
-# change. Their rate is fixed by their intervals.
-_ESSENTIAL = frozenset({Kind.HEARTBEAT, Kind.HEAD, Kind.CONFIG})
+# change, the list of leaving hosts or an operator's drain. Their rate is
+# fixed by their intervals.
+_ESSENTIAL = frozenset({Kind.HEARTBEAT, Kind.HEAD, Kind.CONFIG, Kind.HOSTS})
 
 
 @dataclasses.dataclass(slots=True)
--- a/tanagerspoke/state/config.py
+++ b/tanagerspoke/state/config.py
@@ -36,6 +36,7 @@
 
     rate_per_s: float | None = None
     concurrency: float | None = None
+    pull_concurrency: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -200,6 +201,7 @@
                 limits=Limits(
                     rate_per_s=_limit(service.rate_per_s, values),
                     concurrency=_limit(service.concurrency, values),
+                    pull_concurrency=_limit(service.pull_concurrency, values),
                 ),
             )
             for service in template.services
--- a/tanagerspoke/state/declarations.py
+++ b/tanagerspoke/state/declarations.py
@@ -76,7 +76,11 @@
     Attributes:
         pull_slot_share: most of an upstream fleet's slots held by pulls.
         rate_per_s: calls a second of one client account, over the fleet.
-        concurrency: running calls of one client account, over the fleet.
+        concurrency: running lookups and writes of one client account, over
+            the fleet.
+        pull_concurrency: running pulls of one client account, over the
+            fleet; counted apart, so that pulls never use up the limit of
+            short calls.
     """
 
     name: Name
@@ -84,6 +88,7 @@
     pull_slot_share: Annotated[float, pydantic.Field(gt=0, le=1)] = 0.5
     rate_per_s: Limit | None = None
     concurrency: Limit | None = None
+    pull_concurrency: Limit | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
@@ -192,7 +197,7 @@
         if names[service.name] > 1:
             yield f"{path}.name: service {service.name!r} is repeated"
         yield from _check_routes(path, service)
-        for field in ("rate_per_s", "concurrency"):
+        for field in ("rate_per_s", "concurrency", "pull_concurrency"):
             limit = getattr(service, field)
             if (
                 isinstance(limit, ParameterRef)
--- a/tanagerspoke/transport/caller_server.py
+++ b/tanagerspoke/transport/caller_server.py
@@ -12,6 +12,7 @@
 from aiohttp import http as aiohttp_http
 
 from tanagerspoke import exceptions
+from tanagerspoke.coordination import limits
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import headers
 from tanagerspoke.settings import options
@@ -62,7 +63,7 @@
     """What is known of a call; filled in while it runs.
 
     Attributes:
-        is_limited: whether the client account's limits count the call.
+        limiter: limiter that counts the call until it ends.
         earlier_may_have_run: whether the caller sent the key before and the
             claim has not yet shown that no earlier request ran.
         dispatched: whether an upstream may have received the call.
@@ -76,7 +77,7 @@
     client_account: str
     service: str
     started_at: float
-    is_limited: bool = False
+    limiter: limits.AccountLimiter | None = None
     earlier_may_have_run: bool = False
     dispatched: bool = False
     route: config.Route | None = None
--- a/tanagerspoke/transport/gateway_service.py
+++ b/tanagerspoke/transport/gateway_service.py
@@ -52,7 +52,8 @@
         self._service_of: dict[str, str] = {}
         self._gateways = 1
         self._tasks: set[asyncio.Task[caller_server.CallerAnswer]] = set()
-        self._limiters: dict[str, limits.AccountLimiter] = {}
+        # Pulls are counted apart from lookups and writes.
+        self._limiters: dict[tuple[str, bool], limits.AccountLimiter] = {}
         self._rng = random.Random()
         self._registry = prometheus_client.CollectorRegistry()
         self._metrics = metrics.GatewayMetrics(registry=self._registry)
@@ -88,7 +89,9 @@
             listen=cfg.admin,
             registry=self._registry,
             is_ready=lambda: (
-                self._snapshot.revision > 0 and self._planned_stop.is_ready
+                self._snapshot.revision > 0
+                and bool(self._upstreams)
+                and self._planned_stop.is_ready
             ),
         )
 
@@ -126,10 +129,8 @@
 
     def _end_call(self, record: caller_server.CallRecord) -> None:
         self._metrics.count_call(record)
-        if record.is_limited:
-            self._limiters[record.service].leave(
-                client_account=record.client_account
-            )
+        if record.limiter is not None:
+            record.limiter.leave(client_account=record.client_account)
         self._planned_stop.call_ended(record.call_id)
 
     async def on_stop(self) -> None:
@@ -259,7 +260,7 @@
         if request.deadline_s is not None:
             deadline_s = min(deadline_s, request.deadline_s)
         record.deadline = record.started_at + deadline_s
-        self._enter_limits(record, found.limits)
+        self._enter_limits(record, route.call_class, found.limits)
         # Made before a claim is awaited, since the service may be deleted
         # from the configuration meanwhile.
         self._dispatcher(request.service)
@@ -285,23 +286,31 @@
         return task.cancel
 
     def _enter_limits(
-        self, record: caller_server.CallRecord, declared: config.Limits
+        self,
+        record: caller_server.CallRecord,
+        call_class: calls.CallClass,
+        declared: config.Limits,
     ) -> None:
         """Counts the call in; it is counted out when it ends.
 
         Raises:
             CallRefusedError: the client account is at one of its limits.
         """
-        if declared.rate_per_s is None and declared.concurrency is None:
+        is_pull = call_class is calls.CallClass.PULL
+        concurrency = (
+            declared.pull_concurrency if is_pull else declared.concurrency
+        )
+        if declared.rate_per_s is None and concurrency is None:
             return
-        limiter = self._limiters.get(record.service)
+        key = (record.service, is_pull)
+        limiter = self._limiters.get(key)
         if limiter is None:
             limiter = limits.AccountLimiter(gateways=self._gateways)
-            self._limiters[record.service] = limiter
+            self._limiters[key] = limiter
         limited = limiter.enter(
             client_account=record.client_account,
             rate_per_s=declared.rate_per_s,
-            concurrency=declared.concurrency,
+            concurrency=concurrency,
             now=time.monotonic(),
         )
         if limited is not None:
@@ -311,7 +320,7 @@
                 f"limit for service {record.service!r}",
                 retry_after_s=limited.retry_after_s,
             )
-        record.is_limited = True
+        record.limiter = limiter
 
     def _precheck(
         self, call: calls.Call, request: caller_server.CallerRequest
--- a/tests/stack.py
+++ b/tests/stack.py
@@ -61,6 +61,7 @@
     for service in template["services"]:
         service.pop("rate_per_s", None)
         service.pop("concurrency", None)
+        service.pop("pull_concurrency", None)
     (directory / "template.json").write_text(json.dumps(template))
     for name in client_accounts:
         account = {
