Move the checks of callers' headers to a module, name the forced stop

Cause: caller_server.py held connection handling, answers and header checks in 678 lines; hurry is no usual term for ending a graceful shutdown. Result: tests/transport and the process tests of answers and stops pass.

--- a/tanagerspoke/commands/program.py
+++ b/tanagerspoke/commands/program.py
@@ -36,10 +36,10 @@
 
 
 @runtime_checkable
-class Hurried(Protocol):
+class ForceStoppable(Protocol):
     """A service whose stop may take long and can be cut short."""
 
-    def hurry(self) -> None:
+    def force_stop(self) -> None:
         """Ends the wait for what still runs."""
 
 
@@ -55,7 +55,7 @@
 def serve(*, name: str, log_level: str, service: Callable[[], Running]) -> None:
     """Runs a service until SIGTERM or SIGINT, or until one of its tasks fails.
 
-    A second signal shortens the stop of a service that has `hurry`. After a
+    A second signal shortens the stop of a service that has `force_stop`. After a
     failed task the process exits with 1, since it would go on without the
     work of that task.
     """
@@ -71,8 +71,8 @@
     service = make()
 
     def on_signal() -> None:
-        if stop.is_set() and isinstance(service, Hurried):
-            service.hurry()
+        if stop.is_set() and isinstance(service, ForceStoppable):
+            service.force_stop()
         stop.set()
 
     for signum in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/tanagerspoke/transport/caller_headers.py
@@ -0,0 +1,143 @@
+"""Headers of callers' requests: checks, values and what is forwarded."""
+
+from aiohttp import http as aiohttp_http
+
+from tanagerspoke import exceptions
+from tanagerspoke.protocol import errors
+from tanagerspoke.protocol import headers
+from tanagerspoke.transport import upstream_client
+
+_DROPPED = frozenset(
+    name.lower()
+    for name in (
+        *headers.RESERVED,
+        headers.CLIENT_ACCOUNT,
+        headers.REPEAT,
+        headers.DEADLINE_MS,
+        headers.DEPTH,
+        "Host",
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Content-Length",
+        "Expect",
+        "Authorization",
+    )
+)
+
+
+def check_size(
+    raw_headers: tuple[tuple[bytes, bytes], ...], limit: int
+) -> None:
+    """Checks the size of all headers.
+
+    Raises:
+        CallRefusedError: it exceeds `limit` bytes.
+    """
+    size = 0
+    for name, value in raw_headers:
+        size += len(name) + len(value)
+    if size > limit:
+        raise exceptions.CallRefusedError(
+            code=errors.ErrorCode.HEADER_TOO_LARGE,
+            message=f"the headers exceed {limit} bytes",
+        )
+
+
+def token(message: aiohttp_http.RawRequestMessage) -> str | None:
+    """Returns the bearer token, or None."""
+    value = message.headers.get("Authorization")
+    if value is None:
+        return None
+    scheme, _, token = value.partition(" ")
+    return token if scheme.lower() == "bearer" else None
+
+
+def deadline_s(message: aiohttp_http.RawRequestMessage) -> float | None:
+    """Returns the caller's remaining time in seconds, or None.
+
+    Raises:
+        CallRefusedError: the header is malformed.
+    """
+    value = message.headers.get(headers.DEADLINE_MS)
+    if value is None:
+        return None
+    if not (value.isascii() and value.isdecimal() and len(value) <= 9) or not (
+        1 <= int(value) <= headers.MAX_DEADLINE_MS
+    ):
+        raise exceptions.CallRefusedError(
+            code=errors.ErrorCode.MALFORMED_DEADLINE,
+            message=f"header {headers.DEADLINE_MS} must be a whole number "
+            f"from 1 to {headers.MAX_DEADLINE_MS}",
+        )
+    return int(value) / 1000
+
+
+def depth(message: aiohttp_http.RawRequestMessage) -> int:
+    """Returns how many calls deep this one is.
+
+    Raises:
+        CallRefusedError: the header is malformed or its value too large.
+    """
+    value = message.headers.get(headers.DEPTH)
+    if value is None:
+        return 0
+    if not (value.isascii() and value.isdecimal() and len(value) <= 9):
+        raise exceptions.CallRefusedError(
+            code=errors.ErrorCode.MALFORMED_DEPTH,
+            message=f"header {headers.DEPTH} must be a whole number",
+        )
+    if int(value) > headers.MAX_DEPTH:
+        raise exceptions.CallRefusedError(
+            code=errors.ErrorCode.DEPTH_EXCEEDED,
+            message=f"calls run at most {headers.MAX_DEPTH} deep",
+        )
+    return int(value)
+
+
+def is_repeat(message: aiohttp_http.RawRequestMessage) -> bool:
+    """Returns whether the caller says that it sent the key before."""
+    return message.headers.get(headers.REPEAT, "").lower() == "yes"
+
+
+def key(message: aiohttp_http.RawRequestMessage) -> str | None:
+    """Returns the idempotency key, or None.
+
+    Raises:
+        CallRefusedError: the header is malformed.
+    """
+    value = message.headers.get(headers.IDEMPOTENCY_KEY)
+    if value is None:
+        return None
+    if not (
+        1 <= len(value) <= headers.MAX_KEY_CHARS
+        and all("!" <= char <= "~" for char in value)
+    ):
+        raise exceptions.CallRefusedError(
+            code=errors.ErrorCode.MALFORMED_KEY,
+            message=f"header {headers.IDEMPOTENCY_KEY} must hold 1 to "
+            f"{headers.MAX_KEY_CHARS} visible ASCII characters",
+        )
+    return value
+
+
+def forwarded(
+    message: aiohttp_http.RawRequestMessage,
+) -> upstream_client.Headers:
+    """Returns the headers that go on to an upstream (RFC 9110, 7.6.1)."""
+    kept = tuple(
+        (name, value)
+        for name, value in message.headers.items()
+        if name.lower() not in _DROPPED
+    )
+    connection = message.headers.get("Connection")
+    if connection is None or connection.lower() in ("close", "keep-alive"):
+        return kept
+    named = {part.strip().lower() for part in connection.split(",")}
+    return tuple(pair for pair in kept if pair[0].lower() not in named)
--- a/tanagerspoke/transport/caller_server.py
+++ b/tanagerspoke/transport/caller_server.py
@@ -18,6 +18,7 @@
 from tanagerspoke.settings import options
 from tanagerspoke.state import config
 from tanagerspoke.transport import caller_connection
+from tanagerspoke.transport import caller_headers
 from tanagerspoke.transport import caller_protocol
 from tanagerspoke.transport import dispatcher
 from tanagerspoke.transport import log_limit
@@ -25,29 +26,6 @@
 
 log = logging.getLogger(__name__)
 
-_DROPPED = frozenset(
-    name.lower()
-    for name in (
-        *headers.RESERVED,
-        headers.CLIENT_ACCOUNT,
-        headers.REPEAT,
-        headers.DEADLINE_MS,
-        headers.DEPTH,
-        "Host",
-        "Connection",
-        "Keep-Alive",
-        "Proxy-Connection",
-        "Proxy-Authenticate",
-        "Proxy-Authorization",
-        "TE",
-        "Trailer",
-        "Transfer-Encoding",
-        "Upgrade",
-        "Content-Length",
-        "Expect",
-        "Authorization",
-    )
-)
 # Time for a caller to read the end of its answer beyond the call's deadline.
 _READ_GRACE_S = 5.0
 # As long as aiohttp's own server keeps an unused connection.
@@ -374,7 +352,9 @@
         self, message: aiohttp_http.RawRequestMessage, record: CallRecord
     ) -> CallerRequest:
         path = message.path
-        _check_size(message.raw_headers, self._cfg.max_header_bytes)
+        caller_headers.check_size(
+            message.raw_headers, self._cfg.max_header_bytes
+        )
         if not record.client_account:
             raise exceptions.CallRefusedError(
                 code=errors.ErrorCode.MISSING_CLIENT_ACCOUNT,
@@ -386,18 +366,18 @@
                 message="the request target must be a path",
             )
         record.service, _, rest = path[1:].partition("/")
-        record.earlier_may_have_run = _is_repeat(message)
+        record.earlier_may_have_run = caller_headers.is_repeat(message)
         request = CallerRequest(
             request_id=record.request_id,
             client_account=record.client_account,
-            token=_token(message),
+            token=caller_headers.token(message),
             service=record.service,
             method=message.method,
             path="/" + rest,
-            deadline_s=_deadline_s(message),
-            depth=_depth(message),
-            key=_key(message),
-            headers=_forwarded(message),
+            deadline_s=caller_headers.deadline_s(message),
+            depth=caller_headers.depth(message),
+            key=caller_headers.key(message),
+            headers=caller_headers.forwarded(message),
             body=b"",
             record=record,
         )
@@ -588,91 +568,3 @@
         code=errors.ErrorCode.BODY_TOO_LARGE,
         message=f"the body exceeds {limit} bytes",
     )
-
-
-def _check_size(
-    raw_headers: tuple[tuple[bytes, bytes], ...], limit: int
-) -> None:
-    size = 0
-    for name, value in raw_headers:
-        size += len(name) + len(value)
-    if size > limit:
-        raise exceptions.CallRefusedError(
-            code=errors.ErrorCode.HEADER_TOO_LARGE,
-            message=f"the headers exceed {limit} bytes",
-        )
-
-
-def _token(message: aiohttp_http.RawRequestMessage) -> str | None:
-    value = message.headers.get("Authorization")
-    if value is None:
-        return None
-    scheme, _, token = value.partition(" ")
-    return token if scheme.lower() == "bearer" else None
-
-
-def _deadline_s(message: aiohttp_http.RawRequestMessage) -> float | None:
-    value = message.headers.get(headers.DEADLINE_MS)
-    if value is None:
-        return None
-    if not (value.isascii() and value.isdecimal() and len(value) <= 9) or not (
-        1 <= int(value) <= headers.MAX_DEADLINE_MS
-    ):
-        raise exceptions.CallRefusedError(
-            code=errors.ErrorCode.MALFORMED_DEADLINE,
-            message=f"header {headers.DEADLINE_MS} must be a whole number "
-            f"from 1 to {headers.MAX_DEADLINE_MS}",
-        )
-    return int(value) / 1000
-
-
-def _depth(message: aiohttp_http.RawRequestMessage) -> int:
-    value = message.headers.get(headers.DEPTH)
-    if value is None:
-        return 0
-    if not (value.isascii() and value.isdecimal() and len(value) <= 9):
-        raise exceptions.CallRefusedError(
-            code=errors.ErrorCode.MALFORMED_DEPTH,
-            message=f"header {headers.DEPTH} must be a whole number",
-        )
-    if int(value) > headers.MAX_DEPTH:
-        raise exceptions.CallRefusedError(
-            code=errors.ErrorCode.DEPTH_EXCEEDED,
-            message=f"calls run at most {headers.MAX_DEPTH} deep",
-        )
-    return int(value)
-
-
-def _is_repeat(message: aiohttp_http.RawRequestMessage) -> bool:
-    return message.headers.get(headers.REPEAT, "").lower() == "yes"
-
-
-def _key(message: aiohttp_http.RawRequestMessage) -> str | None:
-    value = message.headers.get(headers.IDEMPOTENCY_KEY)
-    if value is None:
-        return None
-    if not (
-        1 <= len(value) <= headers.MAX_KEY_CHARS
-        and all("!" <= char <= "~" for char in value)
-    ):
-        raise exceptions.CallRefusedError(
-            code=errors.ErrorCode.MALFORMED_KEY,
-            message=f"header {headers.IDEMPOTENCY_KEY} must hold 1 to "
-            f"{headers.MAX_KEY_CHARS} visible ASCII characters",
-        )
-    return value
-
-
-def _forwarded(
-    message: aiohttp_http.RawRequestMessage,
-) -> upstream_client.Headers:
-    kept = tuple(
-        (name, value)
-        for name, value in message.headers.items()
-        if name.lower() not in _DROPPED
-    )
-    connection = message.headers.get("Connection")
-    if connection is None or connection.lower() in ("close", "keep-alive"):
-        return kept
-    named = {part.strip().lower() for part in connection.split(",")}
-    return tuple(pair for pair in kept if pair[0].lower() not in named)
--- a/tanagerspoke/transport/gateway_service.py
+++ b/tanagerspoke/transport/gateway_service.py
@@ -114,7 +114,7 @@
             await self._server.flush(timeout_s=_FLUSH_S)
         await self.stop()
 
-    def hurry(self) -> None:
+    def force_stop(self) -> None:
         """Ends the wait of `close`; running calls are cut and logged."""
         self._planned_stop.request()
 
