--- a/tanagerspoke/commands/program.py
+++ b/tanagerspoke/commands/program.py
@@ -55,9 +55,9 @@
 def serve(*, name: str, log_level: str, service: Callable[[], Running]) -> None:
     """Runs a service until SIGTERM or SIGINT, or until one of its tasks fails.
 
-    A second signal shortens the stop of a service that has `force_stop`. After a
-    failed task the process exits with 1, since it would go on without the
-    work of that task.
+    A second signal shortens the stop of a service that has `force_stop`.
+    After a failed task the process exits with 1, since it would go on without
+    the work of that task.
     """
     logs.configure(program=name, level=log_level)
     if not uvloop.run(_serve(service)):
