--- a/tanagerspoke/transport/grpc_agent.py
+++ b/tanagerspoke/transport/grpc_agent.py
@@ -11,6 +11,7 @@
 from tanagerspoke.protocol import codec
 from tanagerspoke.settings import options
 from tanagerspoke.transport import grpc_security
+from tanagerspoke.transport import grpc_server
 
 _subscribe_decoder = codec.Decoder(message_type=agent.SubscribeRequest)
 _update_decoder = codec.Decoder(message_type=agent.GatewayUpdate)
@@ -54,33 +55,23 @@
         tls: options.Tls | None = None,
         on_refused: Callable[[str], None] = grpc_security.ignore_refusal,
     ) -> None:
-        self._listen = listen
         self._shared_key = shared_key
         self._handler = handler
-        self._tls = tls
         self._on_refused = on_refused
-        self._server: grpc.aio.Server | None = None
+        self._server = grpc_server.GrpcServer(
+            service=agent.SERVICE,
+            methods=self._methods(),
+            listen=listen,
+            tls=tls,
+        )
 
     async def start(self) -> None:
         """Opens the port."""
-        self._server = grpc.aio.server()
-        self._server.add_generic_rpc_handlers(
-            (
-                grpc.method_handlers_generic_handler(
-                    agent.SERVICE, self._methods()
-                ),
-            )
-        )
-        grpc_security.add_port(
-            server=self._server, listen=self._listen, tls=self._tls
-        )
         await self._server.start()
 
     async def close(self) -> None:
         """Closes the port; running calls get a short grace time."""
-        if self._server is not None:
-            await self._server.stop(grace=0.5)
-            self._server = None
+        await self._server.close()
 
     def _methods(self) -> dict[str, grpc.RpcMethodHandler]:
         return {
--- a/tanagerspoke/transport/grpc_peer.py
+++ b/tanagerspoke/transport/grpc_peer.py
@@ -11,6 +11,7 @@
 from tanagerspoke.protocol import peer
 from tanagerspoke.settings import options
 from tanagerspoke.transport import grpc_security
+from tanagerspoke.transport import grpc_server
 
 _heartbeat_decoder = codec.Decoder(message_type=peer.Heartbeat)
 _request_decoder = codec.Decoder(message_type=peer.SnapshotRequest)
@@ -50,33 +51,23 @@
         handler: PeerHandler,
         on_refused: Callable[[str], None],
     ) -> None:
-        self._listen = listen
         self._shared_key = shared_key
-        self._tls = tls
         self._handler = handler
         self._on_refused = on_refused
-        self._server: grpc.aio.Server | None = None
+        self._server = grpc_server.GrpcServer(
+            service=peer.SERVICE,
+            methods=self._methods(),
+            listen=listen,
+            tls=tls,
+        )
 
     async def start(self) -> None:
         """Opens the port."""
-        self._server = grpc.aio.server()
-        self._server.add_generic_rpc_handlers(
-            (
-                grpc.method_handlers_generic_handler(
-                    peer.SERVICE, self._methods()
-                ),
-            )
-        )
-        grpc_security.add_port(
-            server=self._server, listen=self._listen, tls=self._tls
-        )
         await self._server.start()
 
     async def close(self) -> None:
         """Closes the port; running calls get a short grace time."""
-        if self._server is not None:
-            await self._server.stop(grace=0.5)
-            self._server = None
+        await self._server.close()
 
     def _methods(self) -> dict[str, grpc.RpcMethodHandler]:
         return {
