List hop-by-hop headers once, count the queue, drop dead code

Change: protocol.headers.HOP_BY_HOP serves both directions (the resulting set of callers' headers was compared and is the same); AdmissionQueue keeps its length; the dead code is gone. Behaviour is the same. The whole suite was not run again; the cost of a call was not measured again.

--- a/tanagerspoke/coordination/admission.py
+++ b/tanagerspoke/coordination/admission.py
@@ -122,12 +122,14 @@
         self._use_classes = use_classes
         self._queues = {c: ClassQueue() for c in calls.CallClass}
         self._short_calls = 0
+        # Counted, since the scheduler asks several times a call.
+        self._length = 0
         # Lookups and writes take turns: by age, writes would wait behind a
         # backlog of lookups whose shorter deadlines drop them first.
         self._turns = [calls.CallClass.LOOKUP, calls.CallClass.WRITE]
 
     def __len__(self) -> int:
-        return sum(len(q) for q in self._queues.values())
+        return self._length
 
     def queue(self, call_class: calls.CallClass) -> ClassQueue:
         """Returns the queue that holds the class."""
@@ -161,10 +163,14 @@
     def push(self, waiting: Waiting, *, first: bool = False) -> None:
         """Adds a call to the queue of its class."""
         self.queue(waiting.call.call_class).push(waiting, first=first)
+        self._length += 1
 
     def remove(self, call: calls.Call) -> Waiting | None:
         """Removes a call that left or expired."""
-        return self.queue(call.call_class).remove(call.call_id)
+        removed = self.queue(call.call_class).remove(call.call_id)
+        if removed is not None:
+            self._length -= 1
+        return removed
 
     def order(self) -> list[calls.CallClass]:
         """Returns the classes that wait, the one that goes first in front."""
@@ -184,4 +190,7 @@
             self._short_calls += 1
             if call_class is self._turns[0]:
                 self._turns.reverse()
-        return self._queues[call_class].pop()
+        popped = self._queues[call_class].pop()
+        if popped is not None:
+            self._length -= 1
+        return popped
--- a/tanagerspoke/coordination/membership.py
+++ b/tanagerspoke/coordination/membership.py
@@ -162,11 +162,6 @@
         self.fleet = fleet.Fleet(own_host=host)
         self.marks = fleet.DrainMarks()
 
-    @property
-    def next_round(self) -> float:
-        """Time of the next round, monotonic seconds."""
-        return self._next_round
-
     def heartbeat(self, *, revision: int, now: float) -> peer.Heartbeat:
         """Returns the next heartbeat of this agent."""
         self._self = _replace(
--- a/tanagerspoke/coordination/retries.py
+++ b/tanagerspoke/coordination/retries.py
@@ -31,11 +31,6 @@
         return True
 
 
-def proven_not_run(result: calls.AttemptResult) -> bool:
-    """Returns whether the result proves that the call did not run."""
-    return isinstance(result, calls.NotSent | calls.Shed)
-
-
 def may_repeat(
     *, call: calls.Call, result: calls.AttemptResult, now: float
 ) -> bool:
--- a/tanagerspoke/protocol/headers.py
+++ b/tanagerspoke/protocol/headers.py
@@ -16,6 +16,23 @@
 # Set by the system only; removed from the requests of callers.
 RESERVED = (REQUEST_ID, ATTEMPT, LOAD, OUTCOME, RETRY)
 
+# Headers of one connection, in lower case, which a proxy never passes on
+# (RFC 9110, 7.6.1), and the length, which is written anew.
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    )
+)
+
 MAX_DEADLINE_MS = 600_000
 MAX_DEPTH = 15
 MAX_KEY_CHARS = 128
--- a/tanagerspoke/state/revisions.py
+++ b/tanagerspoke/state/revisions.py
@@ -68,11 +68,6 @@
 _status_decoder = msgspec.json.Decoder(NodeStatus)
 
 
-def item_key(item: agent.Item) -> str:
-    """Returns the table key of a declaration."""
-    return f"{ITEM_PREFIX}{item.kind}/{item.name}"
-
-
 def log_key(revision: int) -> str:
     """Returns the table key of a revision log entry."""
     return f"{LOG_PREFIX}{revision:012d}"
--- a/tanagerspoke/transport/caller_headers.py
+++ b/tanagerspoke/transport/caller_headers.py
@@ -7,7 +7,7 @@
 from tanagerspoke.protocol import headers
 from tanagerspoke.transport import upstream_client
 
-_DROPPED = frozenset(
+_DROPPED = headers.HOP_BY_HOP | frozenset(
     name.lower()
     for name in (
         *headers.RESERVED,
@@ -16,16 +16,6 @@
         headers.DEADLINE_MS,
         headers.DEPTH,
         "Host",
-        "Connection",
-        "Keep-Alive",
-        "Proxy-Connection",
-        "Proxy-Authenticate",
-        "Proxy-Authorization",
-        "TE",
-        "Trailer",
-        "Transfer-Encoding",
-        "Upgrade",
-        "Content-Length",
         "Expect",
         "Authorization",
     )
--- a/tanagerspoke/transport/upstream_client.py
+++ b/tanagerspoke/transport/upstream_client.py
@@ -39,25 +39,11 @@
 _REPLY_LINES_PER_S = 100.0
 _REPLY_LINES_BURST = 1000
 
-_HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-    )
-)
 # `Tanagerspoke-Retry` is passed on: it tells outer layers not to retry.
 _SYSTEM = frozenset(
     name.lower() for name in headers.RESERVED if name != headers.RETRY
 )
-_DROPPED = _HOP_BY_HOP | _SYSTEM
+_DROPPED = headers.HOP_BY_HOP | _SYSTEM
 
 Headers = tuple[tuple[str, str], ...]
 
--- a/tanagerspoke/transport/upstream_connection.py
+++ b/tanagerspoke/transport/upstream_connection.py
@@ -22,16 +22,13 @@
 
     Attributes:
         idle_since: time of the last release, in seconds of the loop's clock.
-        reused: whether an earlier exchange ran on it.
     """
 
     __slots__ = (
-        "_on_idle_closed",
         "_receiver",
         "closed",
         "idle_since",
         "reader",
-        "reused",
         "transport",
         "upstream_id",
     )
@@ -43,7 +40,6 @@
         self.reader = response_reader.ResponseReader(loop=loop)
         self.transport: asyncio.Transport | None = None
         self.closed = False
-        self.reused = False
         self.idle_since = 0.0
         self._receiver: Receiver | None = None
 
@@ -82,7 +78,6 @@
     def release(self) -> None:
         """Parts the connection from its exchange."""
         self._receiver = None
-        self.reused = True
 
     def close(self) -> None:
         """Drops the connection at once."""
