Let one node of a zone read the store for the others

Change: the nodes of a zone rank themselves by link; one reads, the others follow its news on a stream and read for themselves as soon as it is silent, or its own reads are late. Upstreams are read more often within the drain time.

--- a/tanagerspoke/coordination/upstream_listing.py
+++ b/tanagerspoke/coordination/upstream_listing.py
@@ -20,12 +20,10 @@
     started_ms: int
     sequence: int
 
-    def is_older_than(self, other: "_Order") -> bool:
-        """Returns whether the other report came later."""
-        return (self.started_ms, self.sequence) < (
-            other.started_ms,
-            other.sequence,
-        )
+    @property
+    def key(self) -> tuple[int, int]:
+        """Sorts reports by the time at which they were made."""
+        return (self.started_ms, self.sequence)
 
 
 class UpstreamListing:
@@ -33,9 +31,10 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, listing.ListedUpstream] = {}
-        # Also of entries that are gone: a report that was delayed must not
-        # bring back an upstream that left.
         self._orders: dict[str, _Order] = {}
+        # A report that was delayed must not bring back an upstream that left.
+        self._gone: dict[str, _Order] = {}
+        self._position = -1
         self._held: dict[str, float] = {}
         self._grace_until = 0.0
 
@@ -44,6 +43,37 @@
         """All upstreams in use, those that are leaving included."""
         return tuple(entry.upstream for entry in self._entries.values())
 
+    @property
+    def entries(self) -> tuple[listing.ListedUpstream, ...]:
+        """The entries in force."""
+        return tuple(self._entries.values())
+
+    @property
+    def position(self) -> int:
+        """Position in the store's changes that the entries are as of."""
+        return self._position
+
+    def adopt(
+        self, entries: tuple[listing.ListedUpstream, ...], *, position: int
+    ) -> bool:
+        """Takes the entries in force at another node.
+
+        Returns whether the upstreams in use differ. Entries as of an older
+        position than the own ones are left out.
+        """
+        if position < self._position:
+            return False
+        self._position = position
+        changed = False
+        names = {entry.upstream.upstream_id for entry in entries}
+        for upstream_id in set(self._entries) - names:
+            self._forget(upstream_id)
+            changed = True
+        self._held.clear()
+        for entry in entries:
+            changed |= self._put(entry.upstream.upstream_id, entry)
+        return changed
+
     @property
     def next_wakeup(self) -> float | None:
         """Time at which `expire` may remove an entry, or None."""
@@ -54,7 +84,13 @@
         self._grace_until = now + RETURN_GRACE_S
 
     def take(self, changes: listing.ListChanges, now: float) -> bool:
-        """Takes changes; returns whether the upstreams in use differ."""
+        """Takes changes; returns whether the upstreams in use differ.
+
+        A whole read that is older than what is known already is left out.
+        """
+        if changes.position < self._position:
+            return False
+        self._position = changes.position
         changed = False
         present = set()
         for change in changes.changes:
@@ -76,7 +112,7 @@
         due = [name for name, at in self._held.items() if at <= now]
         for upstream_id in due:
             del self._held[upstream_id]
-            self._entries.pop(upstream_id, None)
+            self._forget(upstream_id)
         return bool(due)
 
     def _put(self, upstream_id: str, entry: listing.ListedUpstream) -> bool:
@@ -84,7 +120,10 @@
             started_ms=entry.upstream.started_ms, sequence=entry.sequence
         )
         known = self._orders.get(upstream_id)
-        if known is not None and order.is_older_than(known):
+        gone = self._gone.get(upstream_id)
+        if known is not None and order.key < known.key:
+            return False
+        if gone is not None and order.key <= gone.key:
             return False
         self._orders[upstream_id] = order
         self._held.pop(upstream_id, None)
@@ -99,5 +138,9 @@
             self._held.setdefault(upstream_id, self._grace_until)
             return False
         self._held.pop(upstream_id, None)
-        del self._entries[upstream_id]
+        self._forget(upstream_id)
         return True
+
+    def _forget(self, upstream_id: str) -> None:
+        del self._entries[upstream_id]
+        self._gone[upstream_id] = self._orders.pop(upstream_id)
--- a/tanagerspoke/platform/boot.py
+++ b/tanagerspoke/platform/boot.py
@@ -34,6 +34,10 @@
     budget_window_s: Annotated[float, pydantic.Field(gt=0)]
 
 
+class _Limits(pydantic.BaseModel):
+    link_mbps: Annotated[float, pydantic.Field(gt=0)]
+
+
 class _Platform(pydantic.BaseModel):
     address: str
 
@@ -45,7 +49,11 @@
     zone: str
     # True only when the whole system starts for the first time.
     bootstrap: bool = False
+    ip: str
+    # First and last port that are free for talk between nodes.
+    internal_port_range: tuple[int, int]
     listen: _Listen
+    limits: _Limits
     bounds: _Bounds
     platform: _Platform
 
@@ -85,6 +93,8 @@
         first_start=boot.bootstrap,
         callers=_endpoint(path, "listen.front", boot.listen.front),
         readiness=_endpoint(path, "listen.ready", boot.listen.ready),
+        peers=_endpoint(path, "ip", f"{boot.ip}:{boot.internal_port_range[0]}"),
+        link_mbps=boot.limits.link_mbps,
         store=_endpoint(path, "platform.address", boot.platform.address),
         drain_s=bounds.drain_s,
         config_apply_s=bounds.config_apply_s,
--- a/tanagerspoke/platform/manifest.py
+++ b/tanagerspoke/platform/manifest.py
@@ -1,10 +1,11 @@
-"""Decodes manifests and worker entries into the product's types."""
+"""Decodes manifests, worker entries and nodes into the product's types."""
 
 import msgspec
 
 from tanagerspoke import exceptions
 from tanagerspoke.platform import wire
 from tanagerspoke.protocol import listing
+from tanagerspoke.protocol import news
 from tanagerspoke.protocol import routing
 from tanagerspoke.protocol import upstreams
 
@@ -12,6 +13,7 @@
 _LEAVING = {"ready": False, "draining": True}
 
 _manifest_decoder = msgspec.json.Decoder(wire.Manifest)
+_node_decoder = msgspec.json.Decoder(wire.NodeEntry)
 _worker_decoder = msgspec.json.Decoder(wire.WorkerEntry)
 
 
@@ -117,3 +119,34 @@
         sequence=entry.seq_no,
         cold_s=entry.cold_left_s,
     )
+
+
+def encode_node(node: news.Node) -> wire.NodeEntry:
+    """Returns the entry of an edge node."""
+    return wire.NodeEntry(
+        zone=node.availability_zone,
+        address=f"{node.address}:{node.port}",
+        link_mbps=node.link_mbps,
+    )
+
+
+def decode_node(*, name: str, value: bytes) -> news.Node:
+    """Returns the edge node of an entry, which only edge nodes write.
+
+    Raises:
+        PlatformUnavailableError: the entry is malformed.
+    """
+    try:
+        entry = _node_decoder.decode(value)
+        address, _, port = entry.address.rpartition(":")
+        return news.Node(
+            name=name,
+            availability_zone=entry.zone,
+            address=address,
+            port=int(port),
+            link_mbps=entry.link_mbps,
+        )
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
+        raise exceptions.PlatformUnavailableError(
+            f"malformed entry of node {name!r}: {exc}"
+        ) from exc
--- a/tanagerspoke/platform/store.py
+++ b/tanagerspoke/platform/store.py
@@ -10,6 +10,7 @@
 from tanagerspoke.platform import manifest
 from tanagerspoke.platform import wire
 from tanagerspoke.protocol import listing
+from tanagerspoke.protocol import news
 from tanagerspoke.protocol import routing
 from tanagerspoke.settings import options
 from tanagerspoke.transport import store_source
@@ -72,20 +73,25 @@
         reply = await self._feed(_WORKERS_TABLE, after=position, wait_s=0.0)
         return _list_changes(reply, services=services, whole=False)
 
-    async def register_node(self, *, node: str, availability_zone: str) -> None:
+    async def register_node(self, node: news.Node) -> None:
         """Implements `StoreSource`."""
-        value = msgspec.json.encode(wire.NodeEntry(zone=availability_zone))
-        row = wire.KeptRow(table=_NODES_TABLE, key=node, value=value)
+        value = msgspec.json.encode(manifest.encode_node(node))
+        row = wire.KeptRow(table=_NODES_TABLE, key=node.name, value=value)
         await self._transact(wire.Transaction(set_keys=(row,)))
 
-    async def unregister_node(self, node: str) -> None:
+    async def unregister_node(self, name: str) -> None:
         """Implements `StoreSource`."""
-        row = wire.KeptRow(table=_NODES_TABLE, key=node)
+        row = wire.KeptRow(table=_NODES_TABLE, key=name)
         await self._transact(wire.Transaction(remove=(row,)))
 
-    async def count_nodes(self) -> int:
+    async def read_nodes(self) -> tuple[news.Node, ...]:
         """Implements `StoreSource`."""
-        return len((await self._read_table(_NODES_TABLE)).rows)
+        reply = await self._read_table(_NODES_TABLE)
+        return tuple(
+            manifest.decode_node(name=row.key, value=row.value)
+            for row in reply.rows
+            if row.value is not None
+        )
 
     async def _read_table(self, table: str) -> wire.RowsReply:
         rows: list[wire.Row] = []
--- a/tanagerspoke/platform/wire.py
+++ b/tanagerspoke/platform/wire.py
@@ -117,6 +117,12 @@
 
 
 class NodeEntry(msgspec.Struct, frozen=True, kw_only=True):
-    """What an edge node writes of itself in the table `nodes`."""
+    """What an edge node writes of itself in its table.
+
+    Attributes:
+        address: IP address and peer port.
+    """
 
     zone: str
+    address: str
+    link_mbps: float
--- a/tanagerspoke/settings/edge.py
+++ b/tanagerspoke/settings/edge.py
@@ -32,6 +32,8 @@
 
     Attributes:
         first_start: whether the whole fleet starts for the first time.
+        peers: where the other nodes of the zone reach this one.
+        link_mbps: bandwidth of the host's link.
         readiness: where the platform asks whether this node is ready.
         drain_s: time within which a leaving upstream gets no more calls.
         config_apply_s: time within which a new configuration is in force.
@@ -47,6 +49,8 @@
     first_start: bool
     callers: options.Endpoint
     readiness: options.Endpoint
+    peers: options.Endpoint
+    link_mbps: Annotated[float, pydantic.Field(gt=0)]
     store: options.Endpoint
     drain_s: _NotNegative
     config_apply_s: _NotNegative
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -29,10 +29,10 @@
 from tanagerspoke.transport import dispatcher
 from tanagerspoke.transport import edge_metrics
 from tanagerspoke.transport import planned_stop
-from tanagerspoke.transport import store_follower
 from tanagerspoke.transport import store_source
 from tanagerspoke.transport import upstream_client
 from tanagerspoke.transport import upstream_dialect
+from tanagerspoke.transport import zone_news
 
 log = logging.getLogger(__name__)
 
@@ -102,7 +102,7 @@
         self._client = upstream_client.UpstreamClient(
             dialect=adapter.upstreams, late_replies_watched=0
         )
-        self._follower = store_follower.StoreFollower(
+        self._news = zone_news.ZoneNews(
             cfg=cfg,
             source=adapter.store,
             on_routing=self._take_routing,
@@ -140,7 +140,7 @@
     async def on_start(self) -> None:
         """Opens the ports."""
         await self._client.start()
-        await self.add_runtime_dependency(self._follower)
+        await self.add_runtime_dependency(self._news)
         await self._readiness.start()
         await self._admin.start()
         await self._server.start()
@@ -180,7 +180,7 @@
             if getattr(cfg, field.name) != getattr(self._cfg, field.name)
         ]
         self._cfg = cfg
-        self._follower.set_options(cfg)
+        self._news.set_options(cfg)
         for budget in self._budgets.values():
             budget.set_bounds(
                 ratio=cfg.retry_budget.ratio,
@@ -259,7 +259,7 @@
             },
         )
 
-    def _take_nodes(self, nodes: int) -> None:
+    def _take_nodes(self, nodes: int | None) -> None:
         if nodes == self._nodes:
             return
         log.info("nodes_changed", extra={"nodes": nodes})
@@ -267,7 +267,7 @@
         for budget in self._budgets.values():
             budget.set_nodes(nodes)
         for service in self._dispatchers.values():
-            service.set_gateways(nodes)
+            service.set_gateways(nodes or 1)
 
     def _dispatcher(self, service: str) -> dispatcher.ServiceDispatcher:
         found = self._dispatchers.get(service)
--- /dev/null
+++ b/tanagerspoke/transport/news_client.py
@@ -0,0 +1,92 @@
+"""Follows the news of another node."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+import aiohttp
+
+from tanagerspoke import exceptions
+from tanagerspoke.protocol import news
+from tanagerspoke.transport import news_codec
+from tanagerspoke.transport import news_server
+
+log = logging.getLogger(__name__)
+
+_CONNECT_TIMEOUT_S = 0.5
+# Silence after which a node counts as unreachable: two lost intervals.
+_SILENCE_S = 2.5 * news_server.ALIVE_INTERVAL_S
+
+
+class NewsLostError(exceptions.TanagerspokeError):
+    """A node sends no current news any more."""
+
+
+class NotAReaderError(NewsLostError):
+    """A node does not read the store itself, or not yet."""
+
+
+class NewsClient:
+    """Reads the news of one node at a time."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Opens the client."""
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=None)
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def follow(
+        self, *, node: news.Node, on_news: Callable[[news.News], None]
+    ) -> None:
+        """Hands on the news of a node for as long as they are current.
+
+        Raises:
+            NewsLostError: the node is silent, or cut off from the store.
+            NotAReaderError: the node follows another one.
+        """
+        url = f"http://{node.address}:{node.port}{news_codec.PATH}"
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                resp = await self._session.get(url)
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise NewsLostError(f"cannot connect: {exc!r}") from exc
+        async with resp:
+            if resp.status != 200:
+                raise NotAReaderError(f"status {resp.status}")
+            try:
+                await self._read(resp, on_news)
+            except TimeoutError as exc:
+                raise NewsLostError("silent") from exc
+            except (
+                aiohttp.ClientError,
+                OSError,
+                exceptions.ProtocolError,
+            ) as exc:
+                raise NewsLostError(repr(exc)) from exc
+            finally:
+                # A stream cannot be reused.
+                resp.close()
+        raise NewsLostError("the stream ended")
+
+    async def _read(
+        self, resp: aiohttp.ClientResponse, on_news: Callable[[news.News], None]
+    ) -> None:
+        stream = news_codec.read(resp.content)
+        while True:
+            async with asyncio.timeout(_SILENCE_S):
+                try:
+                    item = await anext(stream)
+                except StopAsyncIteration:
+                    return
+            if isinstance(item, news.Alive) and not item.current:
+                raise NewsLostError("it cannot read the store")
+            on_news(item)
--- /dev/null
+++ b/tanagerspoke/transport/news_server.py
@@ -0,0 +1,102 @@
+"""Passes the store's news on to the other nodes of the zone."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from aiohttp import web
+
+from tanagerspoke.protocol import news
+from tanagerspoke.settings import options
+from tanagerspoke.transport import news_codec
+
+log = logging.getLogger(__name__)
+
+# Short enough that a follower notices a silent node well within the time that
+# a change of configuration or a drain may take.
+ALIVE_INTERVAL_S = 0.4
+# Frames that a follower may be behind before it is cut off.
+_MAX_BEHIND = 64
+
+
+class NewsServer:
+    """Streams all news, then changes, to each follower.
+
+    A node that follows another one, or cannot read the store, refuses
+    followers, so that news pass through one node at most.
+    """
+
+    def __init__(
+        self,
+        *,
+        listen: options.Endpoint,
+        snapshot: Callable[[], list[news.News]],
+        is_current: Callable[[], bool],
+    ) -> None:
+        """Creates a closed server.
+
+        Args:
+            listen: peer port of this node.
+            snapshot: returns all news that are in force.
+            is_current: whether this node reads the store itself, and the last
+                reads succeeded.
+        """
+        self._listen = listen
+        self._snapshot = snapshot
+        self._is_current = is_current
+        self._followers: set[asyncio.Queue[bytes]] = set()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Opens the port."""
+        app = web.Application()
+        app.router.add_get(news_codec.PATH, self._stream)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.0)
+        await self._runner.setup()
+        await web.TCPSite(
+            self._runner, self._listen.address, self._listen.port
+        ).start()
+
+    async def close(self) -> None:
+        """Closes the port and cuts the followers off."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def publish(self, item: news.News) -> None:
+        """Sends a piece of news to all followers."""
+        if not self._followers:
+            return
+        frame = news_codec.encode(item)
+        for queue in self._followers:
+            if queue.qsize() < _MAX_BEHIND:
+                queue.put_nowait(frame)
+
+    async def _stream(self, req: web.Request) -> web.StreamResponse:
+        if not self._is_current():
+            return web.Response(status=409, text="not a current reader\n")
+        resp = web.StreamResponse()
+        await resp.prepare(req)
+        queue: asyncio.Queue[bytes] = asyncio.Queue()
+        for item in self._snapshot():
+            queue.put_nowait(news_codec.encode(item))
+        self._followers.add(queue)
+        log.info("follower_joined", extra={"followers": len(self._followers)})
+        try:
+            current = True
+            while current and queue.qsize() < _MAX_BEHIND:
+                current = self._is_current()
+                await resp.write(await self._next_frame(queue))
+        except (ConnectionError, asyncio.CancelledError):
+            log.debug("follower_left")
+        finally:
+            self._followers.discard(queue)
+            log.info("follower_left", extra={"followers": len(self._followers)})
+        return resp
+
+    async def _next_frame(self, queue: asyncio.Queue[bytes]) -> bytes:
+        try:
+            async with asyncio.timeout(ALIVE_INTERVAL_S):
+                return await queue.get()
+        except TimeoutError:
+            return news_codec.encode(news.Alive(current=self._is_current()))
--- a/tanagerspoke/transport/store_follower.py
+++ b/tanagerspoke/transport/store_follower.py
@@ -10,9 +10,9 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.coordination import upstream_listing
-from tanagerspoke.protocol import listing
+from tanagerspoke.protocol import listing as listing_types
+from tanagerspoke.protocol import news
 from tanagerspoke.protocol import routing
-from tanagerspoke.protocol import upstreams
 from tanagerspoke.settings import edge
 from tanagerspoke.transport import log_limit
 from tanagerspoke.transport import store_source
@@ -25,10 +25,16 @@
 # next change; each wait costs a call to the store.
 _ROUTING_WAIT_SHARE = 0.75
 # Upstreams are read this often within the time that a drain may take.
-_READS_PER_DRAIN = 1.7
+_READS_PER_DRAIN = 2.5
 _NODES_INTERVAL_S = 5.0
+# Time in which all nodes of a first start have put themselves on the list.
+_SETTLE_S = 1.0
+# A read that is later than this makes the others look elsewhere, in time for
+# what may have changed since the last one.
+_LATE_READ_S = 0.25
 _MIN_RETRY_S = 0.1
-_MAX_RETRY_S = 0.8
+# The store must be back for longer than this before changes count on it.
+_MAX_RETRY_S = 1.2
 _PROBLEM_LINES_PER_S = 2.0
 _PROBLEM_LINES_BURST = 20
 
@@ -39,16 +45,23 @@
     def __init__(self, *, on_regained: Callable[[], None]) -> None:
         self._on_regained = on_regained
         self._lost_at: float | None = None
+        self._answering = asyncio.Event()
+        self._answering.set()
 
     @property
     def lost(self) -> bool:
         """Whether the last call failed."""
         return self._lost_at is not None
 
+    async def wait_until_answering(self) -> None:
+        """Waits while calls fail; one caller at least must go on trying."""
+        await self._answering.wait()
+
     def failed(self, exc: Exception) -> None:
         """Takes a call that brought no answer."""
         if self._lost_at is None:
             self._lost_at = time.monotonic()
+            self._answering.clear()
             log.warning("store_lost", extra={"error": str(exc)})
 
     def answered(self) -> None:
@@ -57,16 +70,17 @@
             return
         lost_s = time.monotonic() - self._lost_at
         self._lost_at = None
+        self._answering.set()
         log.info("store_regained", extra={"lost_s": round(lost_s, 3)})
         self._on_regained()
 
 
 class StoreFollower(mode.Service):
-    """Keeps routing, upstreams and the number of nodes up to date.
+    """Keeps routing, upstreams and nodes up to date from the store.
 
-    `on_routing` gets each version, older ones included; `on_upstreams` the
-    whole list whenever it changed; `on_nodes` the number of nodes, or None
-    while this node is not listed itself.
+    While it is paused, another node's news take the place of its reads.
+    `on_routing` gets each version, older ones included; `on_upstreams` and
+    `on_nodes` are called when the listing or the list of nodes changed.
     """
 
     def __init__(
@@ -74,21 +88,31 @@
         *,
         cfg: edge.Edge,
         source: store_source.StoreSource,
+        listing: upstream_listing.UpstreamListing,
         on_routing: Callable[[routing.RoutingTable], None],
-        on_upstreams: Callable[[tuple[upstreams.Upstream, ...]], None],
-        on_nodes: Callable[[int | None], None],
+        on_upstreams: Callable[[], None],
+        on_nodes: Callable[[tuple[news.Node, ...]], None],
     ) -> None:
         super().__init__()
         self._cfg = cfg
         self._source = source
+        self._listing = listing
         self._on_routing = on_routing
         self._on_upstreams = on_upstreams
         self._on_nodes = on_nodes
-        self._listing = upstream_listing.UpstreamListing()
+        self._node = news.Node(
+            name=cfg.node,
+            availability_zone=cfg.availability_zone,
+            address=cfg.peers.address,
+            port=cfg.peers.port,
+            link_mbps=cfg.link_mbps,
+        )
         self._services: frozenset[str] | None = None
         self._health = StoreHealth(on_regained=self._regain)
+        self._reading = asyncio.Event()
         self._read_upstreams_now = asyncio.Event()
         self._registered = False
+        self._upstreams_read_at = float("-inf")
         self._retry_delay_s = _MIN_RETRY_S
         self._problems = log_limit.LogLimit(
             event="unreadable_row",
@@ -96,10 +120,37 @@
             burst=_PROBLEM_LINES_BURST,
         )
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether it reads the store."""
+        return self._reading.is_set()
+
+    @property
+    def is_current(self) -> bool:
+        """Whether it reads, its last reads succeeded and are not old."""
+        age_s = time.monotonic() - self._upstreams_read_at
+        return (
+            self.is_reading
+            and not self._health.lost
+            and age_s < self._upstreams_interval_s + _LATE_READ_S
+        )
+
+    @property
+    def _upstreams_interval_s(self) -> float:
+        return self._cfg.drain_s / _READS_PER_DRAIN
+
     def set_options(self, cfg: edge.Edge) -> None:
         """Takes changed options; the store's address stays."""
         self._cfg = cfg
 
+    def resume(self) -> None:
+        """Reads the store from now on."""
+        self._reading.set()
+
+    def pause(self) -> None:
+        """Reads no more, but for what is under way."""
+        self._reading.clear()
+
     async def on_start(self) -> None:
         """Opens the connections to the store."""
         await self._source.start()
@@ -118,6 +169,9 @@
     async def _follow_routing(self) -> None:
         position: int | None = None
         while not self.should_stop:
+            if not self._reading.is_set():
+                position = None
+                await self._reading.wait()
             change = await self._ask(self._next_routing(position))
             if change is None:
                 position = None
@@ -141,20 +195,26 @@
                 "unreadable_row",
                 extra={"key": "routing", "problem": change.problem},
             )
-        if change.table is None:
-            return
-        services = frozenset(change.table.services)
+        if change.table is not None:
+            self.note_services(change.table)
+            self._on_routing(change.table)
+
+    def note_services(self, table: routing.RoutingTable) -> None:
+        """Takes the services that entries of the list may name."""
+        services = frozenset(table.services)
         if services != self._services:
             # Entries of services that were unknown may be usable now.
             self._services = services
             self._read_upstreams_now.set()
-        self._on_routing(change.table)
 
     @mode.Service.task
     async def _follow_upstreams(self) -> None:
-        interval_s = self._cfg.drain_s / _READS_PER_DRAIN
         position: int | None = None
         while not self.should_stop:
+            if not self._reading.is_set():
+                position = None
+                await self._reading.wait()
+            await self._health.wait_until_answering()
             if self._read_upstreams_now.is_set():
                 self._read_upstreams_now.clear()
                 position = None
@@ -164,18 +224,18 @@
                 continue
             position = changes.position
             self._take_upstreams(changes)
-            await self._pause(interval_s)
+            await self._pause_reads(self._upstreams_interval_s)
 
     async def _next_upstreams(
         self, position: int | None
-    ) -> listing.ListChanges:
+    ) -> listing_types.ListChanges:
         if position is None:
             return await self._source.read_upstreams(services=self._services)
         return await self._source.changed_upstreams(
             position=position, services=self._services
         )
 
-    def _take_upstreams(self, changes: listing.ListChanges) -> None:
+    def _take_upstreams(self, changes: listing_types.ListChanges) -> None:
         for change in changes.changes:
             if change.problem is None:
                 continue
@@ -188,11 +248,13 @@
                     },
                 )
         now = time.monotonic()
+        first = self._upstreams_read_at == float("-inf")
+        self._upstreams_read_at = now
         changed = self._listing.take(changes, now)
-        if self._listing.expire(now) or changed:
-            self._on_upstreams(self._listing.upstreams)
+        if self._listing.expire(now) or changed or first:
+            self._on_upstreams()
 
-    async def _pause(self, interval_s: float) -> None:
+    async def _pause_reads(self, interval_s: float) -> None:
         """Waits until the next read is due, or asked for."""
         wakeup = self._listing.next_wakeup
         if wakeup is not None:
@@ -202,24 +264,26 @@
                 await self._read_upstreams_now.wait()
         except TimeoutError:
             if self._listing.expire(time.monotonic()):
-                self._on_upstreams(self._listing.upstreams)
+                self._on_upstreams()
 
     @mode.Service.task
     async def _follow_nodes(self) -> None:
+        while not self._registered:
+            await self._ask(self._register())
+        if self._cfg.first_start:
+            # All nodes start at about the same time; one read tells them all.
+            await asyncio.sleep(_SETTLE_S)
         while not self.should_stop:
-            nodes = await self._ask(self._count_nodes())
+            nodes = await self._ask(self._source.read_nodes())
             if nodes is not None:
                 self._on_nodes(nodes)
                 await asyncio.sleep(_NODES_INTERVAL_S)
+            await self._reading.wait()
+            await self._health.wait_until_answering()
 
-    async def _count_nodes(self) -> int:
-        if not self._registered:
-            await self._source.register_node(
-                node=self._cfg.node,
-                availability_zone=self._cfg.availability_zone,
-            )
-            self._registered = True
-        return await self._source.count_nodes()
+    async def _register(self) -> None:
+        await self._source.register_node(self._node)
+        self._registered = True
 
     async def _ask(self, call: Awaitable[T]) -> T | None:
         """Returns the answer of a call, or None where it failed.
--- a/tanagerspoke/transport/store_source.py
+++ b/tanagerspoke/transport/store_source.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from tanagerspoke.protocol import listing
+from tanagerspoke.protocol import news
 from tanagerspoke.protocol import routing
 
 
@@ -38,11 +39,11 @@
     ) -> listing.ListChanges:
         """Returns the changes of the list after the position, at once."""
 
-    async def register_node(self, *, node: str, availability_zone: str) -> None:
-        """Lists this node among those that share the retry budget."""
+    async def register_node(self, node: news.Node) -> None:
+        """Puts this node on the list of nodes."""
 
-    async def unregister_node(self, node: str) -> None:
-        """Takes this node off that list."""
+    async def unregister_node(self, name: str) -> None:
+        """Takes this node off the list."""
 
-    async def count_nodes(self) -> int:
-        """Returns the number of listed nodes."""
+    async def read_nodes(self) -> tuple[news.Node, ...]:
+        """Returns the list of nodes."""
