Keep upstreams from overfilling, judge a lost store by its pace

Change: calls wait for a fresh report; late calls take nearly idle upstreams only and are refused with a time to come back soon after; probes go to all zones after a round; hedges need a fast host. Entries are held after a lost store only where the store stood still, by its positions.

--- a/tanagerspoke/coordination/probe_rounds.py
+++ b/tanagerspoke/coordination/probe_rounds.py
@@ -9,11 +9,14 @@
 from tanagerspoke.state import loads
 
 # Age up to which a report stands for the upstream's load of this moment.
-FRESH_S = 0.04
+FRESH_S = 0.025
 # A host that is this much slower than usual is left to calls that cannot wait.
 FAST_HOST_SLOWNESS = 1.5
-# Probes in one round.
-_ROUND_SIZE = 3
+# Probes in one round: few for a single call, more where many wait.
+_MIN_ROUND_SIZE = 3
+_MAX_ROUND_SIZE = 8
+# Silence of all upstreams after which fresh reports are not waited for.
+_SILENCE_S = 0.15
 # Answers without a report after which the service counts as one that tells no
 # load; its health path may then wait for a slot like any request.
 _SILENT_ANSWERS = 3
@@ -37,6 +40,7 @@
         self._pending: set[str] = set()
         self._silent = 0
         self._told = False
+        self._reported_at = float("-inf")
         self._tokens = 0.0
         self._filled_at: float | None = None
 
@@ -45,14 +49,14 @@
         """Whether the service's upstreams tell their load."""
         return self._told or self._silent < _SILENT_ANSWERS
 
-    @property
-    def pending(self) -> bool:
-        """Whether a probe is under way."""
-        return bool(self._pending)
+    def responsive(self, now: float) -> bool:
+        """Returns whether some upstream told its load lately."""
+        return now - self._reported_at < _SILENCE_S
 
-    def note_report(self) -> None:
+    def note_report(self, now: float) -> None:
         """Notes that an upstream told its load."""
         self._told = True
+        self._reported_at = now
 
     def ended(self, *, upstream_id: str, told: bool, answered: bool) -> None:
         """Takes the end of a probe."""
@@ -63,12 +67,20 @@
             self._silent += 1
 
     def next_round(
-        self, *, records: list[loads.UpstreamLoad], nodes: int, now: float
+        self,
+        *,
+        records: list[loads.UpstreamLoad],
+        waiting: int,
+        all_zones: bool,
+        nodes: int,
+        now: float,
     ) -> list[loads.UpstreamLoad]:
         """Returns upstreams to probe now; none while a round is under way.
 
         Args:
             records: upstreams that may be chosen, the most promising first.
+            waiting: calls that wait for an upstream.
+            all_zones: whether upstreams of other zones are probed as well.
             nodes: nodes that share the upstreams.
             now: monotonic seconds.
         """
@@ -76,8 +88,11 @@
             return []
         self._fill(len(records), nodes, now)
         stale = [r for r in records if r.report_age_s(now) > FRESH_S]
-        near = [r for r in stale if self._is_near(r.upstream)]
-        chosen = (near or stale)[: min(_ROUND_SIZE, int(self._tokens))]
+        if not all_zones:
+            near = [r for r in stale if self._is_near(r.upstream)]
+            stale = near or stale
+        size = min(max(waiting, _MIN_ROUND_SIZE), _MAX_ROUND_SIZE)
+        chosen = stale[: min(size, int(self._tokens))]
         self._tokens -= len(chosen)
         self._pending.update(r.upstream.upstream_id for r in chosen)
         return chosen
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -30,8 +30,20 @@
 _RESCUE_QUANTILE = 0.95
 # Repeats that hedges leave for retries, whose call has no other attempt.
 _HEDGE_RESERVE = 1.0
-# Share of the time until the target for which a call waits for a fast host.
-_FAST_HOST_PATIENCE = 0.25
+# Wait for a report while no upstream tells its load.
+_NO_REPORT_PATIENCE_S = 0.05
+# Before a waiting call is refused, it takes any upstream with a free slot.
+_LAST_CHANCE_S = 0.05
+# Part of an upstream's slots that late calls may fill: one of three or four.
+_LATE_SHARE = 0.4
+# A call that became late in the queue waits on for this share of its target;
+# then its caller is told when to come back.
+_LATE_WAIT_SHARE = 0.5
+# A call that waited longer than one round of probes takes any zone's upstream.
+_OWN_ZONE_S = 0.015
+# A hedge that finds no fast host is tried again after a round of probes.
+_HEDGE_RETRY_S = 0.015
+_MAX_HEDGE_TRIES = 5
 _CROWDING_WEIGHT = 8.0
 # Fresh reports tell the load, so that an upstream with some calls is no risk.
 _KNOWN_CROWDING_WEIGHT = 1.0
@@ -42,9 +54,6 @@
 _RECHECK_S = 0.01
 _MAX_QUEUE_PER_SLOT = 16
 _MIN_QUEUE = 64
-# Part of the uncrowded slots that this node may always use, relative to its
-# even share: callers are spread unevenly over the nodes.
-_ENTITLED_SHARE = 1.0
 _NO_UPSTREAM_RETRY_AFTER_S = 0.5
 _MIN_RETRY_AFTER_S = 0.05
 _MAX_RETRY_AFTER_S = 1.0
@@ -71,6 +80,7 @@
     attempt_count: int = 0
     # Attempts that reached an upstream, or may have.
     sent: int = 0
+    hedge_tries: int = 0
     done: bool = False
     queued: bool = False
     queued_at: float = 0.0
@@ -206,11 +216,16 @@
         state.queued_at = now
         target_at = call.target_at or call.deadline
         usual_s = self._quantile_s(call, _IN_TIME_QUANTILE)
+        in_time_until = target_at - usual_s
+        late_wait_s = _LATE_WAIT_SHARE * (target_at - call.arrived_at)
         self._queue.push(
             target_queue.Waiting(
                 call=call,
-                in_time_until=target_at - usual_s,
-                expires_at=call.deadline - usual_s,
+                in_time_until=in_time_until,
+                expires_at=min(
+                    call.deadline - usual_s,
+                    max(now, in_time_until) + late_wait_s,
+                ),
             )
         )
 
@@ -219,7 +234,7 @@
     ) -> None:
         record = self._view.get(upstream_id)
         if record is not None:
-            self._probes.note_report()
+            self._probes.note_report(now)
             self._view.report(record=record, load=load, now=now)
 
     def _end_probe(self, event: calls.ProbeEnded, now: float) -> None:
@@ -232,25 +247,30 @@
             self._take_report(event.upstream_id, event.load, now)
 
     def _place(
-        self, state: _CallState, now: float
+        self, waiting: target_queue.Waiting, now: float
     ) -> loads.UpstreamLoad | None:
-        """Returns the upstream that the call starts on now, or None.
+        """Returns the upstream that a call starts on now, or None.
 
-        A call waits for a fast host while it can still be in time; one that
-        cannot wait takes the best that there is.
+        A call waits for a fast host. Late calls take idle upstreams only, so
+        that they leave room to the calls of all nodes that can be in time.
         """
+        state = self._calls[waiting.call.call_id]
         if not self._probes.useful:
-            return self._choose(state, now)
-        fast = self._choose(state, now, fast_only=True)
-        if fast is not None or now < self._waits_until(state):
+            return self._choose(state, now, entitled=True)
+        late = now > waiting.in_time_until
+        fast = self._choose(
+            state, now, fast_only=True, max_busy=_LATE_SHARE if late else None
+        )
+        if fast is not None or now < self._waits_until(state, waiting, now):
             return fast
-        return self._choose(state, now)
+        return self._choose(state, now, max_busy=1.0)
 
-    def _waits_until(self, state: _CallState) -> float:
-        call = state.call
-        target_at = call.target_at or call.deadline
-        spare_s = target_at - state.queued_at
-        return state.queued_at + _FAST_HOST_PATIENCE * spare_s
+    def _waits_until(
+        self, state: _CallState, waiting: target_queue.Waiting, now: float
+    ) -> float:
+        if not self._probes.responsive(now):
+            return state.queued_at + _NO_REPORT_PATIENCE_S
+        return waiting.expires_at - _LAST_CHANCE_S
 
     def _choose(
         self,
@@ -259,25 +279,25 @@
         *,
         need_free_slot: bool = False,
         fast_only: bool = False,
+        entitled: bool = False,
+        max_busy: float | None = None,
     ) -> loads.UpstreamLoad | None:
         tried = state.tried
         # A retry may return to an upstream when there is no other; a hedge
         # there would share its fate.
         if not need_free_slot and len(tried) >= len(self._view.open):
             tried = ()
-        max_busy = None
-        if not self._crowding.may_fill(self._rng.random()):
+        if max_busy is None and not self._crowding.may_fill(self._rng.random()):
             max_busy = _UNCROWDED_SHARE
-        total = self._view.total_slots
-        entitled = self._own < max(
-            1, math.ceil(_ENTITLED_SHARE * total / self._nodes)
-        )
+        if entitled:
+            total = self._view.total_slots
+            entitled = self._own < max(1, math.ceil(total / self._nodes))
         return self._balancer.choose(
             call_class=calls.CallClass.LOOKUP,
             mean_latency_s=self._quantile_s(state.call, 0.5),
             now=now,
             tried=tried,
-            entitled=entitled and not need_free_slot and not fast_only,
+            entitled=entitled,
             need_free_slot=need_free_slot or fast_only,
             max_busy=max_busy,
             crowding_weight=(
@@ -350,7 +370,7 @@
             return
         record = attempt.record
         if event.load is not None:
-            self._probes.note_report()
+            self._probes.note_report(now)
             self._view.report(record=record, load=event.load, now=now)
         record.own -= 1
         self._own -= 1
@@ -366,7 +386,7 @@
         self._note_failure(state, event.attempt, result)
         if state.attempts:
             return
-        if state.started is None and self._retry(state, result, now, actions):
+        if state.started is None and self._retry(state, result, now):
             return
         self._finish(state, actions)
 
@@ -462,7 +482,6 @@
         state: _CallState,
         result: calls.AttemptResult,
         now: float,
-        actions: list[calls.SchedulerAction],
     ) -> bool:
         if state.sent >= state.call.max_attempts or not self._view.open:
             return False
@@ -472,11 +491,7 @@
         sent = not isinstance(result, calls.NotSent)
         if sent and not self._budget.spend(now):
             return False
-        record = self._choose(state, now)
-        if record is not None:
-            self._dispatch(state, record, now, actions)
-        else:
-            self._enqueue(state, now)
+        self._enqueue(state, now)
         return True
 
     def _finish(
@@ -543,17 +558,26 @@
 
     def _drain(self, now: float, actions: list[calls.SchedulerAction]) -> None:
         for waiting in self._queue.order(now):
-            state = self._calls[waiting.call.call_id]
-            record = self._place(state, now)
+            record = self._place(waiting, now)
             if record is None:
                 continue
+            state = self._calls[waiting.call.call_id]
             self._queue.remove(waiting.call.call_id)
             state.queued = False
             self._dispatch(state, record, now, actions)
         if len(self._queue):
-            self._probe(now, actions)
+            oldest = min(s.queued_at for s in self._queued_states())
+            self._probe(now, oldest, actions)
+
+    def _queued_states(self) -> list[_CallState]:
+        return [self._calls[call_id] for call_id in self._queue.call_ids]
 
-    def _probe(self, now: float, actions: list[calls.SchedulerAction]) -> None:
+    def _probe(
+        self,
+        now: float,
+        waits_since: float,
+        actions: list[calls.SchedulerAction],
+    ) -> None:
         records = [
             r
             for r in self._view.open
@@ -564,7 +588,11 @@
         actions.extend(
             calls.Probe(upstream_id=r.upstream.upstream_id)
             for r in self._probes.next_round(
-                records=records, nodes=self._nodes, now=now
+                records=records,
+                waiting=len(self._queue),
+                all_zones=now - waits_since > _OWN_ZONE_S,
+                nodes=self._nodes,
+                now=now,
             )
         )
 
@@ -605,13 +633,22 @@
         if state.sent >= call.max_attempts or now >= call.deadline:
             return
         # Waiting calls mean saturation: a hedge would take their slot.
-        if not len(self._queue):
-            record = self._choose(state, now, need_free_slot=True)
+        if not len(self._queue) and self._budget.left(now) > _HEDGE_RESERVE:
+            fast_only = self._probes.useful
+            record = self._choose(
+                state, now, need_free_slot=True, fast_only=fast_only
+            )
             if record is not None and self._budget.spend(
                 now, reserve=_HEDGE_RESERVE
             ):
                 self._dispatch(state, record, now, actions, is_hedge=True)
                 return
+            state.hedge_tries += 1
+            if fast_only and state.hedge_tries % _MAX_HEDGE_TRIES:
+                self._probe(now, state.queued_at, actions)
+                again_at = now + _HEDGE_RETRY_S
+                heapq.heappush(self._hedges, (again_at, call.call_id))
+                return
         # Tried once more when the call is late and still silent.
         target_at = call.target_at or call.deadline
         if now < target_at:
--- a/tanagerspoke/coordination/target_queue.py
+++ b/tanagerspoke/coordination/target_queue.py
@@ -33,6 +33,11 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    @property
+    def call_ids(self) -> list[int]:
+        """Ids of the waiting calls."""
+        return list(self._waiting)
+
     @property
     def next_expiry(self) -> float | None:
         """Earliest time at which a call expires, or None."""
--- a/tanagerspoke/coordination/upstream_listing.py
+++ b/tanagerspoke/coordination/upstream_listing.py
@@ -11,6 +11,10 @@
 
 # Time after the store's return within which lapsed entries come back.
 RETURN_GRACE_S = 2.0
+# A store that went on at this share of its usual pace was up for others: only
+# this node was cut off from it, and no entry lapsed for that.
+_UP_FOR_OTHERS_SHARE = 0.8
+_PACE_WEIGHT = 0.2
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,6 +41,10 @@
         self._position = -1
         self._held: dict[str, float] = {}
         self._grace_until = 0.0
+        self._regained = False
+        self._read_at: float | None = None
+        # Changes of the store in a second, by its positions.
+        self._pace_per_s = 0.0
 
     @property
     def upstreams(self) -> tuple[upstreams.Upstream, ...]:
@@ -64,6 +72,7 @@
         if position < self._position:
             return False
         self._position = position
+        self._read_at = None
         changed = False
         names = {entry.upstream.upstream_id for entry in entries}
         for upstream_id in set(self._entries) - names:
@@ -79,9 +88,9 @@
         """Time at which `expire` may remove an entry, or None."""
         return min(self._held.values(), default=None)
 
-    def store_regained(self, now: float) -> None:
+    def store_regained(self) -> None:
         """Notes that the store answers again after a failure."""
-        self._grace_until = now + RETURN_GRACE_S
+        self._regained = True
 
     def take(self, changes: listing.ListChanges, now: float) -> bool:
         """Takes changes; returns whether the upstreams in use differ.
@@ -90,6 +99,7 @@
         """
         if changes.position < self._position:
             return False
+        self._note_pace(changes.position, now)
         self._position = changes.position
         changed = False
         present = set()
@@ -115,6 +125,20 @@
             self._forget(upstream_id)
         return bool(due)
 
+    def _note_pace(self, position: int, now: float) -> None:
+        """Learns the store's pace, and judges by it what a failure was."""
+        read_at = self._read_at
+        self._read_at = now
+        if read_at is None or now <= read_at:
+            return
+        pace_per_s = (position - self._position) / (now - read_at)
+        if not self._regained:
+            self._pace_per_s += _PACE_WEIGHT * (pace_per_s - self._pace_per_s)
+            return
+        self._regained = False
+        if pace_per_s < _UP_FOR_OTHERS_SHARE * self._pace_per_s:
+            self._grace_until = now + RETURN_GRACE_S
+
     def _put(self, upstream_id: str, entry: listing.ListedUpstream) -> bool:
         order = _Order(
             started_ms=entry.upstream.started_ms, sequence=entry.sequence
--- a/tanagerspoke/transport/store_follower.py
+++ b/tanagerspoke/transport/store_follower.py
@@ -34,7 +34,7 @@
 _LATE_READ_S = 0.25
 _MIN_RETRY_S = 0.1
 # The store must be back for longer than this before changes count on it.
-_MAX_RETRY_S = 1.2
+_MAX_RETRY_S = 0.8
 _PROBLEM_LINES_PER_S = 2.0
 _PROBLEM_LINES_BURST = 20
 
@@ -306,5 +306,5 @@
         return answer
 
     def _regain(self) -> None:
-        self._listing.store_regained(time.monotonic())
+        self._listing.store_regained()
         self._read_upstreams_now.set()
