Take fresh reports as exact, log without blocking, test the new decisions

Cause: test_full_upstreams_get_no_call failed: the trust in reports, learned from answers, made 3 reported calls on 3 slots count as 2.1. Change: a report that was asked for counts as it is while it is fresh. Logs go to standard output; a full pipe drops and counts lines. Connections are not used within a second of the end of the upstream's Keep-Alive time.

--- a/tanagerspoke/commands/program.py
+++ b/tanagerspoke/commands/program.py
@@ -114,7 +114,9 @@
 
     The exit code is 2 for invalid input, 3 for a conflict, 1 otherwise.
     """
-    logs.configure(program=name, level=log_level)
+    logs.configure(
+        program=name, level=log_level, descriptor=sys.stderr.fileno()
+    )
 
     async def run() -> T:
         return await job
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -118,7 +118,7 @@
         self._probes = probes
         self._rng = rng
         self._nodes = max(1, nodes)
-        self._view = loads.LoadView()
+        self._view = loads.LoadView(exact_for_s=probe_rounds.FRESH_S)
         self._balancer = balancing.Balancer(
             view=self._view,
             availability_zone=availability_zone,
--- a/tanagerspoke/state/loads.py
+++ b/tanagerspoke/state/loads.py
@@ -35,6 +35,7 @@
         own_pulls: those of them that are pulls.
         others: calls of other gateways when the last report came.
         host_slowness: slowness of the host in the last report.
+        exact_until: time until which the last report counts as exact.
         slowness: attempt duration relative to the mean of the class.
         ejected_until: monotonic seconds.
     """
@@ -47,6 +48,7 @@
         "others",
         "reported_at",
         "host_slowness",
+        "exact_until",
         "slowness",
         "sampled_at",
         "failure_load",
@@ -68,6 +70,7 @@
         self.others = 0.0
         self.reported_at = float("-inf")
         self.host_slowness = 1.0
+        self.exact_until = float("-inf")
         self.slowness = 1.0
         self.sampled_at = float("-inf")
         self.failure_load = 0.0
@@ -91,6 +94,8 @@
         """Returns the expected calls in flight, failures included."""
         age = max(0.0, now - self.reported_at)
         weight = trust * _REPORT_HALF_LIFE_S / (_REPORT_HALF_LIFE_S + age)
+        if now <= self.exact_until:
+            weight = 1.0
         expected = mean_others + (self.others - mean_others) * weight
         if self.failure_load:
             expected += self.current_failure_load(now)
@@ -155,8 +160,19 @@
 class LoadView:
     """The upstreams of one service and the mean load of other gateways."""
 
-    def __init__(self, *, use_reports: bool = True) -> None:
+    def __init__(
+        self, *, use_reports: bool = True, exact_for_s: float | None = None
+    ) -> None:
+        """Creates a view without upstreams.
+
+        Args:
+            use_reports: whether load reports count.
+            exact_for_s: age up to which a report is taken as it is, where
+                the upstreams are asked for their load; None where they are
+                not.
+        """
         self._use_reports = use_reports
+        self._exact_for_s = exact_for_s
         self._records: dict[str, UpstreamLoad] = {}
         self.open: list[UpstreamLoad] = []
         self.mean_others = 0.0
@@ -223,6 +239,8 @@
         record.others = float(max(0, load.in_flight - record.own))
         record.reported_at = now
         record.host_slowness = load.host_slowness
+        if self._exact_for_s is not None:
+            record.exact_until = now + self._exact_for_s
         self.mean_others += _MEAN_WEIGHT * (record.others - self.mean_others)
 
     def _weigh_reports(self, *, own: int, reported: int) -> None:
--- a/tanagerspoke/transport/logs.py
+++ b/tanagerspoke/transport/logs.py
@@ -1,8 +1,9 @@
-"""JSON-lines logging on standard error."""
+"""JSON-lines logging on standard output, which never blocks."""
 
 import datetime
 import json
 import logging
+import os
 import sys
 from typing import Any
 
@@ -40,9 +41,69 @@
         return json.dumps(fields, default=str)
 
 
-def configure(*, program: str, level: str) -> None:
-    """Sends all log records of this process to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+class NonBlockingHandler(logging.Handler):
+    """Writes lines to a descriptor; drops and counts what it does not take.
+
+    The descriptor is set to non-blocking, since a reader that stops reading
+    must not stop the event loop.
+    """
+
+    def __init__(self, *, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        # Rest of a line of which the descriptor took a part.
+        self._rest = b""
+        self._dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one record, or counts it as dropped."""
+        try:
+            line = self.format(record).encode() + b"\n"
+        except Exception:
+            self.handleError(record)
+            return
+        if not self._write(self._rest):
+            self._dropped += 1
+            return
+        if self._dropped:
+            notice = json.dumps(
+                {"event": "log_lines_dropped", "dropped": self._dropped}
+            )
+            self._dropped = 0
+            line = notice.encode() + b"\n" + line
+        self._write(line)
+
+    def _write(self, data: bytes) -> bool:
+        """Returns whether all was written; keeps the rest for later."""
+        self._rest = b""
+        while data:
+            try:
+                written = os.write(self._descriptor, data)
+            except BlockingIOError:
+                self._rest = data
+                return False
+            except OSError:
+                # Nobody reads any more; there is nowhere to report it.
+                return True
+            data = data[written:]
+        return True
+
+
+def configure(
+    *, program: str, level: str, descriptor: int | None = None
+) -> None:
+    """Sends all log records of this process to a descriptor.
+
+    Args:
+        program: name of the program in every line.
+        level: least level that is written.
+        descriptor: standard output by default; commands that print their
+            result there use standard error.
+    """
+    if descriptor is None:
+        descriptor = sys.stdout.fileno()
+    handler = NonBlockingHandler(descriptor=descriptor)
     handler.setFormatter(JsonFormatter(program=program))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/tanagerspoke/transport/upstream_client.py
+++ b/tanagerspoke/transport/upstream_client.py
@@ -31,6 +31,8 @@
 # Shorter than the keep-alive time of common servers, so that a connection is
 # rarely closed by the upstream just when a request is written to it.
 _IDLE_S = 20.0
+# Before the end of the time that the upstream states in `Keep-Alive`.
+_KEEP_ALIVE_MARGIN_S = 1.0
 _SWEEP_INTERVAL_S = 5.0
 _WATCH_LATE_S = 30.0
 
@@ -417,8 +419,9 @@
         idle = self._idle.get(upstream_id)
         while idle:
             conn = idle.pop()
-            if conn.is_usable:
+            if conn.is_usable and conn.usable_until > self._loop.time():
                 return conn
+            conn.close()
         return None
 
     async def connect(
@@ -443,6 +446,7 @@
             return
         conn.release()
         conn.idle_since = self._loop.time()
+        conn.usable_until = conn.idle_since + _idle_limit_s(conn.reader.head)
         idle.append(conn)
 
     def watch(self, exchange: Exchange) -> None:
@@ -509,7 +513,11 @@
     def _sweep(self) -> None:
         oldest = self._loop.time() - _IDLE_S
         for upstream_id, idle in list(self._idle.items()):
-            while idle and (idle[0].closed or idle[0].idle_since < oldest):
+            while idle and (
+                idle[0].closed
+                or idle[0].idle_since < oldest
+                or idle[0].usable_until < self._loop.time()
+            ):
                 idle.popleft().close()
             if not idle:
                 del self._idle[upstream_id]
@@ -524,6 +532,16 @@
     )
 
 
+def _idle_limit_s(head) -> float:
+    """Returns how long a connection may stay unused before it is reused."""
+    value = head.headers.get("Keep-Alive", "")
+    for part in value.split(","):
+        name, _, seconds = part.strip().partition("=")
+        if name.lower() == "timeout" and seconds.isdecimal():
+            return min(_IDLE_S, int(seconds) - _KEEP_ALIVE_MARGIN_S)
+    return _IDLE_S
+
+
 def _content_length(head) -> int | None:
     value = head.headers.get("Content-Length")
     return int(value) if value is not None and value.isdecimal() else None
--- a/tanagerspoke/transport/upstream_connection.py
+++ b/tanagerspoke/transport/upstream_connection.py
@@ -34,6 +34,7 @@
 
     Attributes:
         idle_since: time of the last release, in seconds of the loop's clock.
+        usable_until: time at which the upstream may close it.
     """
 
     __slots__ = (
@@ -43,6 +44,7 @@
         "reader",
         "transport",
         "upstream_id",
+        "usable_until",
     )
 
     def __init__(
@@ -53,6 +55,7 @@
         self.transport: asyncio.Transport | None = None
         self.closed = False
         self.idle_since = 0.0
+        self.usable_until = 0.0
         self._receiver: Receiver | None = None
 
     @property
--- /dev/null
+++ b/tests/coordination/test_route_scheduling.py
@@ -0,0 +1,375 @@
+"""The scheduler by route, target and deadline."""
+
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tanagerspoke.coordination import probe_rounds
+from tanagerspoke.coordination import retry_budget
+from tanagerspoke.coordination import route_scheduling
+from tanagerspoke.protocol import calls
+from tanagerspoke.protocol import errors
+from tanagerspoke.protocol import upstreams
+from tests.coordination import helpers
+
+_FAST = upstreams.LoadReport(in_flight=0, slots=3)
+_SLOW = upstreams.LoadReport(in_flight=0, slots=3, host_slowness=5.0)
+_FULL = upstreams.LoadReport(in_flight=3, slots=3)
+
+
+def _scheduler(
+    count: int = 3, *, extra: float = 100.0, seed: int = 1
+) -> route_scheduling.RouteScheduler:
+    scheduler = route_scheduling.RouteScheduler(
+        availability_zone="a",
+        zone_distance_s=0.03,
+        budget=retry_budget.RetryBudget(
+            ratio=0.2,
+            shared_extra=extra,
+            window_s=10.0,
+            extra_from=0.0,
+            nodes=1,
+        ),
+        probes=probe_rounds.ProbeRounds(
+            availability_zone="a", rate_per_upstream_s=30.0
+        ),
+        rng=random.Random(seed),
+    )
+    scheduler.handle(
+        event=calls.UpstreamsChanged(upstreams=helpers.make_upstreams(count)),
+        now=0.0,
+    )
+    return scheduler
+
+
+def _call(
+    call_id: int = 1,
+    *,
+    now: float = 0.0,
+    idempotent: bool = True,
+    max_attempts: int = 2,
+    priority: int = 0,
+) -> calls.Call:
+    return calls.Call(
+        call_id=call_id,
+        client_account="",
+        call_class=calls.CallClass.LOOKUP,
+        idempotent=idempotent,
+        hedge=idempotent,
+        arrived_at=now,
+        target_at=now + 0.6,
+        deadline=now + 2.0,
+        route="r",
+        max_attempts=max_attempts,
+        priority=priority,
+    )
+
+
+def _arrive(
+    scheduler: route_scheduling.RouteScheduler, call: calls.Call, now: float
+) -> list[calls.SchedulerAction]:
+    return scheduler.handle(event=calls.Arrive(call=call), now=now)
+
+
+def _told(
+    scheduler: route_scheduling.RouteScheduler,
+    upstream_id: str,
+    load: upstreams.LoadReport | None,
+    now: float,
+) -> list[calls.SchedulerAction]:
+    return scheduler.handle(
+        event=calls.ProbeEnded(
+            upstream_id=upstream_id, load=load, answered=load is not None
+        ),
+        now=now,
+    )
+
+
+def _of(actions: list[calls.SchedulerAction], kind: type) -> list:
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def test_a_call_waits_for_a_fast_host() -> None:
+    """Guards against a call that starts where it takes five times as long."""
+    scheduler = _scheduler()
+    actions = _arrive(scheduler, _call(), 0.0)
+    assert [p.upstream_id for p in _of(actions, calls.Probe)] == ["u0"]
+    actions = _told(scheduler, "u0", _SLOW, 0.002)
+    assert _of(actions, calls.Dispatch) == []
+    assert {p.upstream_id for p in _of(actions, calls.Probe)} == {"u1", "u2"}
+    actions = _told(scheduler, "u1", _FAST, 0.004)
+    assert [d.upstream_id for d in _of(actions, calls.Dispatch)] == ["u1"]
+
+
+def test_full_upstreams_get_no_call() -> None:
+    """Guards against calls that wait in an upstream that never answers them.
+
+    Seen on hverasel-gw-grown scale-2: 4 to 5 calls on 3 slots for 10 s.
+    """
+    scheduler = _scheduler(1)
+    _arrive(scheduler, _call(), 0.0)
+    now = 0.0
+    while now < 2.0:
+        now += 0.01
+        actions = _told(scheduler, "u0", _FULL, now)
+        assert _of(actions, calls.Dispatch) == []
+        refused = _of(actions, calls.Refuse)
+        if refused:
+            assert refused[0].code is errors.ErrorCode.QUEUE_TIMEOUT
+            assert refused[0].retry_after_s > 0
+            return
+    raise AssertionError("the call was neither sent nor refused")
+
+
+def test_silent_probes_do_not_hold_a_call() -> None:
+    """Guards against a call that waits for reports that never come."""
+    scheduler = _scheduler()
+    _arrive(scheduler, _call(), 0.0)
+    actions = _told(scheduler, "u0", None, 0.1)
+    assert len(_of(actions, calls.Dispatch)) == 1
+
+
+def test_service_without_load_is_not_probed_for_ever() -> None:
+    """Guards against probes that take slots where no load is told."""
+    scheduler = _scheduler(9)
+    now = 0.0
+    for call_id in range(1, 6):
+        now += 0.2
+        for probe in _of(_arrive(scheduler, _call(call_id), now), calls.Probe):
+            scheduler.handle(
+                event=calls.ProbeEnded(
+                    upstream_id=probe.upstream_id, load=None, answered=True
+                ),
+                now=now,
+            )
+    actions = _arrive(scheduler, _call(9, now=now), now)
+    assert _of(actions, calls.Probe) == []
+    assert len(_of(actions, calls.Dispatch)) == 1
+
+
+def _sent(
+    scheduler: route_scheduling.RouteScheduler, call: calls.Call, now: float
+) -> calls.Dispatch:
+    _arrive(scheduler, call, now)
+    for upstream_id in ("u0", "u1", "u2"):
+        found = _of(_told(scheduler, upstream_id, _FAST, now), calls.Dispatch)
+        if found:
+            return found[0]
+    raise AssertionError("the call was not sent")
+
+
+def _end(
+    scheduler: route_scheduling.RouteScheduler,
+    dispatch: calls.Dispatch,
+    result: calls.AttemptResult,
+    now: float,
+) -> list[calls.SchedulerAction]:
+    return scheduler.handle(
+        event=calls.AttemptEnded(
+            call_id=dispatch.call_id,
+            attempt=dispatch.attempt,
+            upstream_id=dispatch.upstream_id,
+            result=result,
+        ),
+        now=now,
+    )
+
+
+def test_write_is_not_repeated_after_its_answer_was_lost() -> None:
+    """Guards against a write that runs twice."""
+    scheduler = _scheduler()
+    dispatch = _sent(scheduler, _call(idempotent=False), 0.0)
+    actions = _end(scheduler, dispatch, calls.Broken(), 0.1)
+    assert [f.code for f in _of(actions, calls.Fail)] == [
+        errors.ErrorCode.UPSTREAM_BROKEN
+    ]
+    assert _of(actions, calls.Dispatch) == []
+
+
+def test_write_that_did_not_run_is_sent_elsewhere() -> None:
+    """Guards against a refusal where another upstream is free."""
+    scheduler = _scheduler()
+    dispatch = _sent(scheduler, _call(idempotent=False), 0.0)
+    actions = _end(scheduler, dispatch, calls.Shed(), 0.1)
+    sent = _of(actions, calls.Dispatch)
+    for upstream_id in ("u0", "u1", "u2"):
+        if not sent:
+            sent = _of(
+                _told(scheduler, upstream_id, _FAST, 0.1), calls.Dispatch
+            )
+    assert sent[0].upstream_id != dispatch.upstream_id
+
+
+def test_no_more_upstreams_than_the_route_allows() -> None:
+    """Guards against attempts beyond `max_attempts`."""
+    scheduler = _scheduler()
+    dispatch = _sent(scheduler, _call(max_attempts=1), 0.0)
+    actions = _end(scheduler, dispatch, calls.Shed(), 0.1)
+    assert len(_of(actions, calls.Refuse)) == 1
+
+
+def test_repeats_stay_within_the_budget() -> None:
+    """Guards against retries beyond the fleet's budget."""
+    scheduler = _scheduler(extra=0.0)
+    dispatch = _sent(scheduler, _call(), 0.0)
+    actions = _end(scheduler, dispatch, calls.Shed(), 0.1)
+    refused = _of(actions, calls.Refuse)
+    assert refused[0].code is errors.ErrorCode.UPSTREAM_SHED
+    assert refused[0].retry_after_s < 0.6
+
+
+def test_address_of_another_upstream_is_left_alone() -> None:
+    """Guards against calls to a process that took over the address."""
+    scheduler = _scheduler(1)
+    dispatch = _sent(scheduler, _call(), 0.0)
+    _end(scheduler, dispatch, calls.WrongUpstream(), 0.1)
+    actions = _arrive(scheduler, _call(2, now=0.2), 0.2)
+    refused = _of(actions, calls.Refuse)
+    assert refused[0].code is errors.ErrorCode.NO_UPSTREAM
+
+
+def test_restart_under_the_same_id_starts_anew() -> None:
+    """Guards against a restarted upstream that stays out of use."""
+    scheduler = _scheduler(1)
+    dispatch = _sent(scheduler, _call(), 0.0)
+    _end(scheduler, dispatch, calls.WrongUpstream(), 0.1)
+    restarted = upstreams.Upstream(
+        upstream_id="u0",
+        service="s",
+        address="127.0.0.1",
+        port=1,
+        availability_zone="a",
+        slots=3,
+        started_ms=5,
+    )
+    scheduler.handle(
+        event=calls.UpstreamsChanged(upstreams=(restarted,)), now=0.2
+    )
+    assert _sent(scheduler, _call(2, now=0.3), 0.3).upstream_id == "u0"
+
+
+def test_caller_that_left_cancels_its_attempts() -> None:
+    """Guards against work for a caller that is gone."""
+    scheduler = _scheduler()
+    dispatch = _sent(scheduler, _call(idempotent=False), 0.0)
+    actions = scheduler.handle(event=calls.CallerLeft(call_id=1), now=0.1)
+    cancelled = _of(actions, calls.CancelAttempt)
+    assert [c.attempt for c in cancelled] == [dispatch.attempt]
+
+
+class _Machine(stateful.RuleBasedStateMachine):
+    """Random events against promises that hold in every order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.scheduler = _scheduler()
+        self.now = 0.0
+        self.next_id = 0
+        self.open: dict[int, calls.Call] = {}
+        self.attempts: dict[tuple[int, int], calls.Dispatch] = {}
+        self.ran: set[int] = set()
+        self.sent: dict[int, int] = {}
+        self.probing: list[str] = []
+
+    def _take(self, actions: list[calls.SchedulerAction]) -> None:
+        for action in actions:
+            match action:
+                case calls.Dispatch(call_id=call_id, attempt=attempt):
+                    self.attempts[call_id, attempt] = action
+                    self.sent[call_id] = self.sent.get(call_id, 0) + 1
+                    call = self.open[call_id]
+                    assert self.sent[call_id] <= call.max_attempts
+                    assert call.idempotent or call_id not in self.ran
+                case calls.Refuse(call_id=call_id):
+                    assert call_id not in self.ran, "refused, but may have run"
+                    del self.open[call_id]
+                case (
+                    calls.Settle(call_id=call_id) | calls.Fail(call_id=call_id)
+                ):
+                    del self.open[call_id]
+                case calls.Probe(upstream_id=upstream_id):
+                    self.probing.append(upstream_id)
+
+    def _handle(self, event: calls.SchedulerEvent) -> None:
+        self._take(self.scheduler.handle(event=event, now=self.now))
+
+    @stateful.rule(idempotent=st.booleans(), priority=st.integers(0, 2))
+    def arrive(self, idempotent: bool, priority: int) -> None:
+        self.next_id += 1
+        call = _call(
+            self.next_id,
+            now=self.now,
+            idempotent=idempotent,
+            priority=priority,
+        )
+        self.open[call.call_id] = call
+        self._handle(calls.Arrive(call=call))
+
+    @stateful.rule(seconds=st.floats(0.001, 0.5))
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+        self._handle(calls.Tick())
+
+    @stateful.precondition(lambda self: self.probing)
+    @stateful.rule(load=st.sampled_from([_FAST, _SLOW, _FULL, None]))
+    def end_probe(self, load: upstreams.LoadReport | None) -> None:
+        upstream_id = self.probing.pop(0)
+        self._handle(
+            calls.ProbeEnded(
+                upstream_id=upstream_id, load=load, answered=load is not None
+            )
+        )
+
+    @stateful.precondition(lambda self: self.attempts)
+    @stateful.rule(
+        data=st.data(),
+        result=st.sampled_from(
+            [
+                calls.Answered(status=200),
+                calls.Answered(status=500, failed=True),
+                calls.Broken(),
+                calls.Shed(),
+                calls.NotSent(),
+                calls.WrongUpstream(),
+                calls.TimedOut(),
+            ]
+        ),
+    )
+    def end_attempt(
+        self, data: st.DataObject, result: calls.AttemptResult
+    ) -> None:
+        key = data.draw(st.sampled_from(sorted(self.attempts)))
+        dispatch = self.attempts.pop(key)
+        if isinstance(result, calls.Answered | calls.Broken | calls.TimedOut):
+            self.ran.add(key[0])
+        if isinstance(result, calls.NotSent):
+            self.sent[key[0]] -= 1
+        self._handle(
+            calls.AttemptEnded(
+                call_id=key[0],
+                attempt=key[1],
+                upstream_id=dispatch.upstream_id,
+                result=result,
+            )
+        )
+
+    @stateful.precondition(lambda self: self.open)
+    @stateful.rule(data=st.data())
+    def leave(self, data: st.DataObject) -> None:
+        call_id = data.draw(st.sampled_from(sorted(self.open)))
+        del self.open[call_id]
+        self._handle(calls.CallerLeft(call_id=call_id))
+
+    @stateful.invariant()
+    def every_open_call_has_an_attempt_or_a_wakeup(self) -> None:
+        with_attempt = {call_id for call_id, _ in self.attempts}
+        if set(self.open) - with_attempt:
+            assert self.scheduler.next_wakeup is not None
+
+
+TestMachine = _Machine.TestCase
+TestMachine.settings = hypothesis.settings(
+    max_examples=80, stateful_step_count=40, deadline=None
+)
--- /dev/null
+++ b/tests/platform/test_boot.py
@@ -0,0 +1,75 @@
+"""The platform's settings file."""
+
+import pathlib
+
+import pytest
+
+from tanagerspoke import exceptions
+from tanagerspoke.platform import boot
+
+WHOLE = """
+node = "front-a-1"
+zone = "a"
+ip = "127.0.0.1"
+internal_port_range = [7540, 7555]
+bootstrap = true
+a_new_field = [1, 2]
+[listen]
+front = "127.0.0.1:8548"
+ready = "127.0.0.1:8542"
+[limits]
+link_mbps = 2500.0
+[bounds]
+drain_s = 2
+grace_s = 6
+config_apply_s = 2
+retry_budget_ratio = 0.2
+retry_budget_extra = 56
+budget_window_s = 10
+probes_per_s = 60
+[platform]
+address = "127.0.0.1:8541"
+"""
+
+
+def test_whole_file(tmp_path: pathlib.Path) -> None:
+    """Guards against fields that are read from the wrong place."""
+    path = tmp_path / "boot.toml"
+    path.write_text(WHOLE)
+    cfg = boot.load(path)
+    assert cfg.callers.port == 8548
+    assert cfg.readiness.port == 8542
+    assert cfg.peers.port == 7540
+    assert cfg.store.port == 8541
+    assert cfg.first_start
+    assert cfg.retry_budget.shared_extra == 56
+    assert cfg.probes_per_upstream_s == 60
+
+
+def test_every_error_is_named(tmp_path: pathlib.Path) -> None:
+    """Guards against settings that are mended one error at a time."""
+    path = tmp_path / "boot.toml"
+    path.write_text(
+        WHOLE.replace('zone = "a"', "").replace("drain_s = 2", 'drain_s = "x"')
+    )
+    with pytest.raises(exceptions.SettingsError) as caught:
+        boot.load(path)
+    assert "zone" in str(caught.value)
+    assert "bounds.drain_s" in str(caught.value)
+
+
+@pytest.mark.parametrize("text", ["", "not toml ["])
+def test_unreadable_file(tmp_path: pathlib.Path, text: str) -> None:
+    """Guards against a traceback where the file is no settings file."""
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    with pytest.raises(exceptions.SettingsError):
+        boot.load(path)
+
+
+def test_bad_address(tmp_path: pathlib.Path) -> None:
+    """Guards against an address that only fails when it is used."""
+    path = tmp_path / "boot.toml"
+    path.write_text(WHOLE.replace("127.0.0.1:8541", "8541"))
+    with pytest.raises(exceptions.SettingsError, match="platform.address"):
+        boot.load(path)
--- /dev/null
+++ b/tests/state/test_routes.py
@@ -0,0 +1,112 @@
+"""Routes by host and prefix, versions and weights."""
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from tanagerspoke.protocol import routing
+from tanagerspoke.state import routes
+
+
+def _route(
+    name: str = "r",
+    *,
+    host: str = "h.example",
+    prefix: str = "/a/",
+    weights: tuple[float, ...] = (1.0,),
+) -> routing.Route:
+    return routing.Route(
+        name=name,
+        host=host,
+        path_prefix=prefix,
+        idempotent=True,
+        timeout_s=2.0,
+        target_latency_s=0.6,
+        max_attempts=2,
+        priority=0,
+        services=tuple(
+            routing.WeightedService(service=f"s{i}", weight=weight)
+            for i, weight in enumerate(weights)
+        ),
+    )
+
+
+def _table(version: int, *found: routing.Route) -> routing.RoutingTable:
+    return routing.RoutingTable(
+        version=version,
+        routes=found,
+        services={},
+        limits=routing.CallerLimits(
+            max_header_bytes=1,
+            max_body_bytes=1,
+            header_timeout_s=1.0,
+            idle_timeout_s=1.0,
+        ),
+    )
+
+
+def _state(seed: int = 1) -> routes.RouteState:
+    return routes.RouteState(rng=random.Random(seed))
+
+
+def test_versions_only_go_forward() -> None:
+    """Guards against a node that returns to an older configuration."""
+    state = _state()
+    assert state.take(_table(5, _route()))
+    assert not state.take(_table(4))
+    assert not state.take(_table(5))
+    assert state.find(host="h.example", path="/a/x") is not None
+
+
+_PREFIXES = ["/", "/a/", "/a/b/", "/a/b/c/", "/ab/"]
+
+
+@hypothesis.given(
+    prefixes=st.lists(st.sampled_from(_PREFIXES), unique=True),
+    path=st.text("abc/", max_size=8).map(lambda text: "/" + text),
+)
+def test_longest_prefix_wins(prefixes: list[str], path: str) -> None:
+    """Guards against a request that goes to a less specific route."""
+    state = _state()
+    state.take(_table(1, *(_route(prefix=p, name=p) for p in prefixes)))
+    found = state.find(host="H.Example:80", path=path + "?q=/a/b/")
+    matching = [p for p in prefixes if path.startswith(p)]
+    expected = max(matching, key=len, default=None)
+    assert (found.path_prefix if found else None) == expected
+
+
+def test_other_host_has_no_route() -> None:
+    """Guards against routes that leak between hosts."""
+    state = _state()
+    state.take(_table(1, _route()))
+    assert state.find(host="x.example", path="/a/") is None
+
+
+@hypothesis.given(
+    weights=st.lists(st.integers(1, 100), min_size=2, max_size=4),
+    seed=st.integers(0, 1000),
+)
+def test_shares_follow_the_weights(weights: list[int], seed: int) -> None:
+    """Guards against a part that gets another share than its weight's."""
+    state = _state(seed)
+    route = _route(weights=tuple(map(float, weights)))
+    state.take(_table(1, route))
+    total = sum(weights)
+    counts = collections.Counter(
+        state.choose_service(route) for _ in range(total)
+    )
+    for index, weight in enumerate(weights):
+        assert abs(counts[f"s{index}"] - weight) <= len(weights)
+
+
+def test_nodes_start_at_different_points() -> None:
+    """Guards against nodes with few calls that all use the first service."""
+    firsts = set()
+    for seed in range(40):
+        state = _state(seed)
+        route = _route(weights=(50.0, 50.0))
+        state.take(_table(1, route))
+        firsts.add(state.choose_service(route))
+    assert firsts == {"s0", "s1"}
