End the streams of news at a stop, test the edge with stand-ins

Cause: test_followers_read_for_themselves_when_the_reader_is_gone hung: the runner waits for streams that never end, so a reader that was told to stop went on until it was killed and stayed on the list of nodes. Change: close cancels the streams. A stand-in of the users' store speaks the published protocol; tests of the edge run against it and stand-in workers.

--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -137,6 +137,11 @@
             is_ready=self._is_ready,
         )
 
+    @property
+    def follows_news(self) -> bool:
+        """Whether another node reads the store for this one."""
+        return self._news.is_following
+
     async def on_start(self) -> None:
         """Opens the ports."""
         await self._client.start()
--- a/tanagerspoke/transport/news_server.py
+++ b/tanagerspoke/transport/news_server.py
@@ -45,6 +45,7 @@
         self._snapshot = snapshot
         self._is_current = is_current
         self._followers: set[asyncio.Queue[bytes]] = set()
+        self._streams: set[asyncio.Task[None]] = set()
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -58,7 +59,13 @@
         ).start()
 
     async def close(self) -> None:
-        """Closes the port and cuts the followers off."""
+        """Closes the port and cuts the followers off.
+
+        The streams never end by themselves, and the runner would wait for
+        them.
+        """
+        for task in list(self._streams):
+            task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
             self._runner = None
@@ -81,15 +88,18 @@
         for item in self._snapshot():
             queue.put_nowait(news_codec.encode(item))
         self._followers.add(queue)
+        task = asyncio.current_task()
+        self._streams.add(task)
         log.info("follower_joined", extra={"followers": len(self._followers)})
         try:
             current = True
             while current and queue.qsize() < _MAX_BEHIND:
                 current = self._is_current()
                 await resp.write(await self._next_frame(queue))
-        except (ConnectionError, asyncio.CancelledError):
-            log.debug("follower_left")
+        except ConnectionError as exc:
+            log.debug("follower_lost", extra={"error": repr(exc)})
         finally:
+            self._streams.discard(task)
             self._followers.discard(queue)
             log.info("follower_left", extra={"followers": len(self._followers)})
         return resp
--- a/tanagerspoke/transport/zone_news.py
+++ b/tanagerspoke/transport/zone_news.py
@@ -81,6 +81,11 @@
             is_current=lambda: self._follower.is_current,
         )
 
+    @property
+    def is_following(self) -> bool:
+        """Whether another node's news take the place of own reads."""
+        return self._nodes_known.is_set() and not self._follower.is_reading
+
     def set_options(self, cfg: edge.Edge) -> None:
         """Takes changed options; addresses stay."""
         self._cfg = cfg
--- /dev/null
+++ b/tests/transport/edge_stack.py
@@ -0,0 +1,244 @@
+"""An edge, its store and its workers inside the test's event loop."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+import contextlib
+import dataclasses
+import json
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from tanagerspoke.platform import adapter
+from tanagerspoke.settings import edge
+from tanagerspoke.settings import options
+from tanagerspoke.standins import metadata_store
+from tanagerspoke.transport import edge_service
+from tests import stack
+
+HOST = "shop.example"
+
+
+async def wait_for(condition: Callable[[], Awaitable[bool]]) -> None:
+    """Waits until a condition of the stack holds."""
+    await stack.wait_until(condition, "edge stack")
+
+
+def _endpoint() -> options.Endpoint:
+    return options.Endpoint(address="127.0.0.1", port=stack.free_port())
+
+
+def manifest(version: int, **changes: Any) -> bytes:
+    """Returns a manifest with one route of each kind."""
+    route = {
+        "host": HOST,
+        "timeout_s": 20,
+        "target_latency_s": 10,
+        "priority": 1,
+        "max_attempts": 2,
+        "service": "shop",
+    }
+    routes = {
+        "r-read": route | {"prefix": "/read/", "kind": "safe"},
+        "r-write": route | {"prefix": "/write/", "kind": "unsafe"},
+    }
+    found = {
+        "version": f"{version:08x}",
+        "routes": routes,
+        "services": {"shop": {"health_path": "/healthy", "max_conns": 50}},
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 10_000,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        },
+    }
+    return json.dumps(found | changes).encode()
+
+
+class Worker:
+    """A worker; `behave` decides what its next answers are.
+
+    Attributes:
+        ran: ids of the requests that it ran, in order.
+        behave: `ok`, `shed`, `reset`, `unsigned` or `hold`.
+    """
+
+    def __init__(self, *, name: str) -> None:
+        self.name = name
+        self.listen = _endpoint()
+        self.ran: list[str] = []
+        self.cancelled: list[str] = []
+        self.deadlines: list[int] = []
+        self.behave = "ok"
+        self.release = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        app = web.Application()
+        app.router.add_get("/healthy", self._health)
+        app.router.add_route("*", "/{path:.*}", self._run)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=0.0,
+            handler_cancellation=True,
+        )
+        await self._runner.setup()
+        await web.TCPSite(
+            self._runner, self.listen.address, self.listen.port
+        ).start()
+
+    async def close(self) -> None:
+        await self._runner.cleanup()
+
+    def entry(self, *, sequence: int = 1, **changes: Any) -> bytes:
+        found = {
+            "service": "shop",
+            "address": f"{self.listen.address}:{self.listen.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 3,
+            "state": "ready",
+            "cold_left_s": 0,
+            "seq_no": sequence,
+            "born": 1000,
+        }
+        return json.dumps(found | changes).encode()
+
+    async def _health(self, req: web.Request) -> web.Response:
+        del req
+        headers = {"X-Instance-Id": self.name, "X-Server-Load": "0,0,3,100"}
+        return web.Response(headers=headers)
+
+    async def _run(self, req: web.Request) -> web.Response:
+        request_id = req.headers["X-Attempt-Id"]
+        headers = {"X-Attempt-Id": request_id, "X-Server-Load": "1,0,3,100"}
+        if req.headers["X-Expect-Instance"] != self.name:
+            return web.Response(status=421, headers=headers)
+        if self.behave == "shed":
+            headers["X-Not-Executed"] = "1"
+            return web.Response(status=503, headers=headers)
+        self.ran.append(request_id)
+        self.deadlines.append(int(req.headers["X-Deadline-Ms"]))
+        if self.behave == "reset":
+            req.transport.abort()
+        if self.behave == "hold":
+            try:
+                await self.release.wait()
+            except asyncio.CancelledError:
+                self.cancelled.append(request_id)
+                raise
+        if self.behave != "unsigned":
+            headers["X-Response-Signature"] = f"sig.{request_id}"
+        body = await req.read()
+        return web.Response(body=b"answer:" + body, headers=headers)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EdgeStack:
+    """What a test talks to."""
+
+    store: metadata_store.MetadataStoreStandin
+    workers: tuple[Worker, ...]
+    edges: tuple[edge_service.EdgeService, ...]
+    cfgs: tuple[edge.Edge, ...]
+    session: aiohttp.ClientSession
+
+    def url(self, path: str, *, node: int = 0) -> str:
+        return f"http://127.0.0.1:{self.cfgs[node].callers.port}{path}"
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        node: int = 0,
+        request_id: str = "q1",
+        **options: Any,
+    ) -> Any:
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": request_id,
+            "X-Deadline-Ms": "15000",
+        }
+        return self.session.request(
+            method, self.url(path, node=node), headers=headers, **options
+        )
+
+    async def is_ready(self, node: int = 0) -> bool:
+        port = self.cfgs[node].readiness.port
+        url = f"http://127.0.0.1:{port}/readiness"
+        async with self.session.get(url) as resp:
+            return resp.status == 200
+
+    async def wait_ready(self, node: int = 0) -> None:
+        await wait_for(lambda: self.is_ready(node))
+
+
+def _cfg(
+    store: metadata_store.MetadataStoreStandin,
+    listen: options.Endpoint,
+    number: int,
+) -> edge.Edge:
+    del store
+    return edge.Edge(
+        node=f"n{number}",
+        availability_zone="a",
+        first_start=False,
+        callers=_endpoint(),
+        readiness=_endpoint(),
+        peers=_endpoint(),
+        link_mbps=100.0,
+        store=listen,
+        drain_s=1.0,
+        config_apply_s=2.0,
+        stop_grace_s=20.0,
+        retry_budget=edge.RetryBudget(
+            ratio=1.0, shared_extra=100.0, window_s=10.0
+        ),
+        probes_per_upstream_s=60.0,
+        metrics_port=stack.free_port(),
+    )
+
+
+@contextlib.asynccontextmanager
+async def run(
+    *, workers: int = 2, nodes: int = 1, configured: bool = True
+) -> AsyncIterator[EdgeStack]:
+    """Yields a running stack and closes all of it."""
+    async with contextlib.AsyncExitStack() as exits:
+        listen = _endpoint()
+        store = metadata_store.MetadataStoreStandin(listen=listen)
+        await store.start()
+        exits.push_async_callback(store.close)
+        found = tuple(Worker(name=f"w{i}") for i in range(workers))
+        for worker in found:
+            await worker.start()
+            exits.push_async_callback(worker.close)
+            await store.put("servers", worker.name, worker.entry())
+        if configured:
+            await store.put("op", "config", manifest(1))
+        session = await exits.enter_async_context(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(force_close=True),
+                timeout=aiohttp.ClientTimeout(total=stack.WAIT_S),
+            )
+        )
+        cfgs = tuple(_cfg(store, listen, n) for n in range(nodes))
+        edges = []
+        for cfg in cfgs:
+            service = edge_service.EdgeService(
+                cfg=cfg, adapter=adapter.make(cfg), load=lambda cfg=cfg: cfg
+            )
+            await service.start()
+            exits.push_async_callback(service.stop)
+            edges.append(service)
+        yield EdgeStack(
+            store=store,
+            workers=found,
+            edges=tuple(edges),
+            cfgs=cfgs,
+            session=session,
+        )
