--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -5,14 +5,12 @@
 import heapq
 import math
 
+from tanagerspoke.coordination import attempt_learning
 from tanagerspoke.coordination import balancing
-from tanagerspoke.coordination import crowding
-from tanagerspoke.coordination import ejection
 from tanagerspoke.coordination import probe_rounds
 from tanagerspoke.coordination import retries
 from tanagerspoke.coordination import retry_budget
 from tanagerspoke.coordination import target_queue
-from tanagerspoke.coordination import work_times
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import randomness
@@ -21,7 +19,7 @@
 
 # A second attempt starts when the first has lasted longer than this share of
 # the recent attempts.
-_HEDGE_QUANTILE = 0.65
+_HEDGE_QUANTILE = 0.8
 # A hedge that most likely misses the target is not sent.
 _IN_TIME_QUANTILE = 0.4
 # An idempotent call that is late and silent is sent once more after this many
@@ -57,9 +55,6 @@
 _NO_UPSTREAM_RETRY_AFTER_S = 0.5
 _MIN_RETRY_AFTER_S = 0.05
 _MAX_RETRY_AFTER_S = 1.0
-# A timeout says something about the upstream only if the call had this many
-# times the median duration of its route.
-_TIMEOUT_RATIO = 3.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -125,9 +120,7 @@
             zone_distance_s=zone_distance_s,
             rng=rng,
         )
-        self._ejector = ejection.Ejector(view=self._view)
-        self._crowding = crowding.CrowdingCost()
-        self._times: dict[str, work_times.WorkTimes] = {}
+        self._learner = attempt_learning.AttemptLearner(view=self._view)
         self._queue = target_queue.TargetQueue()
         self._calls: dict[int, _CallState] = {}
         self._own = 0
@@ -215,7 +208,7 @@
         state.queued = True
         state.queued_at = now
         target_at = call.target_at or call.deadline
-        usual_s = self._quantile_s(call, _IN_TIME_QUANTILE)
+        usual_s = self._learner.quantile_s(call, _IN_TIME_QUANTILE)
         in_time_until = target_at - usual_s
         late_wait_s = _LATE_WAIT_SHARE * (target_at - call.arrived_at)
         self._queue.push(
@@ -287,14 +280,14 @@
         # there would share its fate.
         if not need_free_slot and len(tried) >= len(self._view.open):
             tried = ()
-        if max_busy is None and not self._crowding.may_fill(self._rng.random()):
+        if max_busy is None and not self._learner.may_fill(self._rng.random()):
             max_busy = _UNCROWDED_SHARE
         if entitled:
             total = self._view.total_slots
             entitled = self._own < max(1, math.ceil(total / self._nodes))
         return self._balancer.choose(
             call_class=calls.CallClass.LOOKUP,
-            mean_latency_s=self._quantile_s(state.call, 0.5),
+            mean_latency_s=self._learner.quantile_s(state.call, 0.5),
             now=now,
             tried=tried,
             entitled=entitled,
@@ -375,7 +368,15 @@
         record.own -= 1
         self._own -= 1
         self._view.released(record)
-        self._learn(state.call, attempt, event.result, now)
+        self._learner.learn(
+            call=state.call,
+            record=record,
+            result=event.result,
+            full=attempt.full,
+            is_hedge=attempt.is_hedge,
+            elapsed_s=now - attempt.started_at,
+            now=now,
+        )
         if state.done:
             self._forget(state)
             return
@@ -390,44 +391,6 @@
             return
         self._finish(state, actions)
 
-    def _learn(
-        self,
-        call: calls.Call,
-        attempt: _Attempt,
-        result: calls.AttemptResult,
-        now: float,
-    ) -> None:
-        record = attempt.record
-        elapsed_s = now - attempt.started_at
-        median_s = self._quantile_s(call, 0.5)
-        ratio = elapsed_s / max(1e-3, median_s)
-        match result:
-            case calls.Answered(failed=False):
-                self._crowding.learn(full=attempt.full, duration_ratio=ratio)
-                record.learn_duration(ratio=ratio, pull=False, now=now)
-                self._times_of(call).learn(elapsed_s)
-                self._ejector.succeeded(record)
-            case calls.Cancelled():
-                # It would have lasted longer still.
-                record.learn_slow(ratio=ratio, now=now)
-                if not attempt.is_hedge:
-                    self._times_of(call).learn(elapsed_s)
-            case calls.TimedOut():
-                record.learn_slow(ratio=ratio, now=now)
-                if ratio >= _TIMEOUT_RATIO:
-                    self._count_failure(record, now)
-            case calls.Shed():
-                record.learn_failure(now)
-            case calls.WrongUpstream():
-                # Its address belongs to another process now.
-                self._view.mark_draining(record.upstream.upstream_id)
-            case _:
-                self._count_failure(record, now)
-
-    def _count_failure(self, record: loads.UpstreamLoad, now: float) -> None:
-        record.learn_failure(now)
-        self._ejector.failed(record=record, now=now)
-
     def _settle(
         self,
         state: _CallState,
@@ -598,15 +561,10 @@
 
     def _arm_hedge(self, state: _CallState, now: float) -> None:
         call = state.call
-        delay_s = self._quantile_s(call, _HEDGE_QUANTILE)
-        at = now + delay_s
-        target_at = call.target_at or call.deadline
-        usual_s = self._quantile_s(call, _IN_TIME_QUANTILE)
-        if at + usual_s > target_at:
-            at = max(
-                target_at,
-                now + _RESCUE_RATIO * self._quantile_s(call, _RESCUE_QUANTILE),
-            )
+        at = now + self._learner.quantile_s(call, _HEDGE_QUANTILE)
+        usual_s = self._learner.quantile_s(call, _IN_TIME_QUANTILE)
+        if at + usual_s > (call.target_at or call.deadline):
+            at = self._rescue_at(call, now)
         if at + usual_s < call.deadline:
             heapq.heappush(self._hedges, (at, call.call_id))
 
@@ -627,51 +585,56 @@
     ) -> None:
         call = state.call
         (attempt,) = state.attempts.values()
-        elapsed_s = now - attempt.started_at
-        median_s = self._quantile_s(call, 0.5)
-        attempt.record.learn_slow(ratio=elapsed_s / median_s, now=now)
+        self._learner.learn_slow(
+            call=call,
+            record=attempt.record,
+            elapsed_s=now - attempt.started_at,
+            now=now,
+        )
         if state.sent >= call.max_attempts or now >= call.deadline:
             return
         # Waiting calls mean saturation: a hedge would take their slot.
-        if not len(self._queue) and self._budget.left(now) > _HEDGE_RESERVE:
-            fast_only = self._probes.useful
-            record = self._choose(
-                state, now, need_free_slot=True, fast_only=fast_only
-            )
-            if record is not None and self._budget.spend(
-                now, reserve=_HEDGE_RESERVE
-            ):
-                self._dispatch(state, record, now, actions, is_hedge=True)
-                return
-            state.hedge_tries += 1
-            if fast_only and state.hedge_tries % _MAX_HEDGE_TRIES:
-                self._probe(now, state.queued_at, actions)
-                again_at = now + _HEDGE_RETRY_S
-                heapq.heappush(self._hedges, (again_at, call.call_id))
-                return
-        # Tried once more when the call is late and still silent.
-        target_at = call.target_at or call.deadline
-        if now < target_at:
-            rescue_s = _RESCUE_RATIO * self._quantile_s(call, _RESCUE_QUANTILE)
-            at = max(target_at, attempt.started_at + rescue_s)
-            if at < call.deadline:
-                heapq.heappush(self._hedges, (at, call.call_id))
-
-    def _times_of(self, call: calls.Call) -> work_times.WorkTimes:
-        found = self._times.get(call.route)
-        if found is None:
-            found = self._times[call.route] = work_times.WorkTimes()
-        return found
-
-    def _quantile_s(self, call: calls.Call, share: float) -> float:
-        target_at = call.target_at or call.deadline
-        return self._times_of(call).quantile_s(
-            share, target_s=target_at - call.arrived_at
+        if not len(self._queue) and self._send_hedge(state, now, actions):
+            return
+        rescue_at = self._rescue_at(call, attempt.started_at)
+        if now < rescue_at < call.deadline:
+            heapq.heappush(self._hedges, (rescue_at, call.call_id))
+
+    def _send_hedge(
+        self,
+        state: _CallState,
+        now: float,
+        actions: list[calls.SchedulerAction],
+    ) -> bool:
+        """Returns whether a hedge was sent, or is tried again soon."""
+        if self._budget.left(now) <= _HEDGE_RESERVE:
+            return False
+        fast_only = self._probes.useful
+        record = self._choose(
+            state, now, need_free_slot=True, fast_only=fast_only
+        )
+        if record is not None and self._budget.spend(
+            now, reserve=_HEDGE_RESERVE
+        ):
+            self._dispatch(state, record, now, actions, is_hedge=True)
+            return True
+        state.hedge_tries += 1
+        if not fast_only or state.hedge_tries % _MAX_HEDGE_TRIES == 0:
+            return False
+        self._probe(now, state.queued_at, actions)
+        heapq.heappush(self._hedges, (now + _HEDGE_RETRY_S, state.call.call_id))
+        return True
+
+    def _rescue_at(self, call: calls.Call, started_at: float) -> float:
+        """Returns when a call that is late and silent is sent once more."""
+        silent_s = _RESCUE_RATIO * self._learner.quantile_s(
+            call, _RESCUE_QUANTILE
         )
+        return max(call.target_at or call.deadline, started_at + silent_s)
 
     def _expected_wait_s(self, call: calls.Call) -> float:
         parallel = max(1, self._own)
-        return len(self._queue) * self._quantile_s(call, 0.5) / parallel
+        return len(self._queue) * self._learner.quantile_s(call, 0.5) / parallel
 
     def _spread(self, wait_s: float) -> float:
         # Random, so that refused callers do not return together.
