Hold missing entries only where an outage made them lapse

Ruled out: the news of other nodes (the node read the store itself). Change: entries are held where the store stood nearly still, or where its pace fell and many entries are missing. The pace of adopted news counts too.

--- a/tanagerspoke/coordination/upstream_listing.py
+++ b/tanagerspoke/coordination/upstream_listing.py
@@ -11,9 +11,15 @@
 
 # Time after the store's return within which lapsed entries come back.
 RETURN_GRACE_S = 2.0
-# A store that went on at this share of its usual pace was up for others: only
-# this node was cut off from it, and no entry lapsed for that.
-_UP_FOR_OTHERS_SHARE = 0.8
+# A store that went on below this share of its usual pace was down for all, so
+# that any entry may have lapsed. At its usual pace it was this node alone that
+# was cut off. In between, entries lapsed if many of them are missing: an
+# outage lapses nearly all, while few upstreams leave at a time.
+_DOWN_SHARE = 0.3
+_UP_SHARE = 0.8
+_LAPSED_SHARE = 0.33
+# Stands for the pace before it is known.
+_UNKNOWN_SHARE = 0.5
 _PACE_WEIGHT = 0.2
 
 
@@ -62,7 +68,11 @@
         return self._position
 
     def adopt(
-        self, entries: tuple[listing.ListedUpstream, ...], *, position: int
+        self,
+        entries: tuple[listing.ListedUpstream, ...],
+        *,
+        position: int,
+        now: float,
     ) -> bool:
         """Takes the entries in force at another node.
 
@@ -71,8 +81,8 @@
         """
         if position < self._position:
             return False
+        self._note_pace(position, now)
         self._position = position
-        self._read_at = None
         changed = False
         names = {entry.upstream.upstream_id for entry in entries}
         for upstream_id in set(self._entries) - names:
@@ -99,7 +109,7 @@
         """
         if changes.position < self._position:
             return False
-        self._note_pace(changes.position, now)
+        pace_share = self._note_pace(changes.position, now)
         self._position = changes.position
         changed = False
         present = set()
@@ -113,10 +123,22 @@
                 # The last readable entry stays in force.
                 present.add(change.upstream_id)
         if changes.whole:
-            for upstream_id in set(self._entries) - present:
+            missing = set(self._entries) - present
+            if self._regained:
+                self._regained = False
+                self._judge_failure(pace_share, len(missing), now)
+            for upstream_id in missing:
                 changed |= self._remove(upstream_id, now)
         return changed
 
+    def _judge_failure(
+        self, pace_share: float, missing: int, now: float
+    ) -> None:
+        """Holds missing entries where they may have lapsed in an outage."""
+        many = missing > _LAPSED_SHARE * len(self._entries)
+        if pace_share < _DOWN_SHARE or (pace_share < _UP_SHARE and many):
+            self._grace_until = now + RETURN_GRACE_S
+
     def expire(self, now: float) -> bool:
         """Removes entries that did not come back; returns whether any."""
         due = [name for name, at in self._held.items() if at <= now]
@@ -125,19 +147,17 @@
             self._forget(upstream_id)
         return bool(due)
 
-    def _note_pace(self, position: int, now: float) -> None:
-        """Learns the store's pace, and judges by it what a failure was."""
+    def _note_pace(self, position: int, now: float) -> float:
+        """Returns the store's pace since the last read, 1 being the usual."""
         read_at = self._read_at
         self._read_at = now
         if read_at is None or now <= read_at:
-            return
+            return _UNKNOWN_SHARE
         pace_per_s = (position - self._position) / (now - read_at)
+        usual_per_s = self._pace_per_s
         if not self._regained:
-            self._pace_per_s += _PACE_WEIGHT * (pace_per_s - self._pace_per_s)
-            return
-        self._regained = False
-        if pace_per_s < _UP_FOR_OTHERS_SHARE * self._pace_per_s:
-            self._grace_until = now + RETURN_GRACE_S
+            self._pace_per_s += _PACE_WEIGHT * (pace_per_s - usual_per_s)
+        return pace_per_s / usual_per_s if usual_per_s > 0 else _UNKNOWN_SHARE
 
     def _put(self, upstream_id: str, entry: listing.ListedUpstream) -> bool:
         order = _Order(
--- a/tests/coordination/test_upstream_listing.py
+++ b/tests/coordination/test_upstream_listing.py
@@ -118,6 +118,35 @@
     assert _names(found) == {"u2"}
 
 
+def test_slower_store_does_not_hold_the_few_that_left() -> None:
+    """Guards against work for upstreams that left while others crashed.
+
+    Found by a hunt: hverasel-gw scale-2 --seed 991671498743, DRAIN.
+    """
+    found = upstream_listing.UpstreamListing()
+    listed = [_entry(f"u{i}") for i in range(10)]
+    found.take(_changes(0, *listed, whole=True), 0.0)
+    for second in range(1, 20):
+        found.take(_changes(20 * second), float(second))
+    found.store_regained()
+    # Fewer upstreams report, so the pace fell to 0.6 of the usual.
+    stays = [_entry(f"u{i}", sequence=9) for i in range(8)]
+    assert found.take(_changes(512, *stays, whole=True), 30.0)
+    assert len(found.upstreams) == 8
+
+
+def test_many_missing_entries_lapsed() -> None:
+    """Guards against dropping all after a cut that ended in an outage."""
+    found = upstream_listing.UpstreamListing()
+    listed = [_entry(f"u{i}") for i in range(10)]
+    found.take(_changes(0, *listed, whole=True), 0.0)
+    for second in range(1, 20):
+        found.take(_changes(20 * second), float(second))
+    found.store_regained()
+    assert not found.take(_changes(512, listed[0], whole=True), 30.0)
+    assert len(found.upstreams) == 10
+
+
 def test_older_news_are_left_out() -> None:
     """Guards against a node that goes back to the list of one cut off.
 
@@ -126,9 +155,9 @@
     found = upstream_listing.UpstreamListing()
     found.take(_changes(1, _entry(), _entry("u2")), 0.0)
     found.take(_removed(5), 1.0)
-    assert not found.adopt((_entry(), _entry("u2")), position=4)
+    assert not found.adopt((_entry(), _entry("u2")), position=4, now=2.0)
     assert _names(found) == {"u2"}
-    assert found.adopt((_entry("u3"),), position=6)
+    assert found.adopt((_entry("u3"),), position=6, now=3.0)
     assert _names(found) == {"u3"}
 
 
