Document the edge for operators

Cause: settings, metrics, events and the way from a request id to its cause were not described for the edge.

--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -7,8 +7,10 @@
 import prometheus_client
 import pytest
 
+from tanagerspoke.settings import edge
 from tanagerspoke.settings import options
 from tanagerspoke.transport import agent_metrics
+from tanagerspoke.transport import edge_metrics
 from tanagerspoke.transport import metrics
 
 _ROOT = pathlib.Path(__file__).parent.parent
@@ -22,6 +24,7 @@
     ("heading", "option_type"),
     [
         ("### tanagerspoke-gateway", options.Gateway),
+        ("### tanagerspoke-edge", edge.Edge),
         ("### tanagerspoke-agent", options.Agent),
         ("`budget` (", options.ControlBudget),
         ("`store`:", options.Store),
@@ -45,6 +48,7 @@
     """Guards against a metric without a stated meaning."""
     registry = prometheus_client.CollectorRegistry()
     metrics.GatewayMetrics(registry=registry)
+    edge_metrics.EdgeMetrics(registry=registry)
     agent = agent_metrics.AgentMetrics().registry
     for family in (*registry.collect(), *agent.collect()):
         suffix = "_total" if family.type == "counter" else ""
