Hold missing entries only where most of a service lapsed

Change: after a failure, the entries of a service are held only if more than half of them are missing.

--- a/tanagerspoke/commands/program.py
+++ b/tanagerspoke/commands/program.py
@@ -114,8 +114,11 @@
 
     The exit code is 2 for invalid input, 3 for a conflict, 1 otherwise.
     """
+    # Standard output is for the result of the command.
     logs.configure(
-        program=name, level=log_level, descriptor=sys.stderr.fileno()
+        program=name,
+        level=log_level,
+        handler=logging.StreamHandler(sys.stderr),
     )
 
     async def run() -> T:
--- a/tanagerspoke/coordination/upstream_listing.py
+++ b/tanagerspoke/coordination/upstream_listing.py
@@ -4,6 +4,7 @@
 only once the store was back for some time, since its owner may write it again.
 """
 
+import collections
 import dataclasses
 
 from tanagerspoke.protocol import listing
@@ -11,16 +12,9 @@
 
 # Time after the store's return within which lapsed entries come back.
 RETURN_GRACE_S = 2.0
-# A store that went on below this share of its usual pace was down for all, so
-# that any entry may have lapsed. At its usual pace it was this node alone that
-# was cut off. In between, entries lapsed if many of them are missing: an
-# outage lapses nearly all, while few upstreams leave at a time.
-_DOWN_SHARE = 0.3
-_UP_SHARE = 0.8
-_LAPSED_SHARE = 0.33
-# Stands for the pace before it is known.
-_UNKNOWN_SHARE = 0.5
-_PACE_WEIGHT = 0.2
+# Where more than this share of a service's entries is missing after a failure
+# of the store, they lapsed in an outage; fewer of them have left.
+_LAPSED_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,10 +41,8 @@
         self._position = -1
         self._held: dict[str, float] = {}
         self._grace_until = 0.0
+        self._lapsed_services: set[str] = set()
         self._regained = False
-        self._read_at: float | None = None
-        # Changes of the store in a second, by its positions.
-        self._pace_per_s = 0.0
 
     @property
     def upstreams(self) -> tuple[upstreams.Upstream, ...]:
@@ -68,11 +60,7 @@
         return self._position
 
     def adopt(
-        self,
-        entries: tuple[listing.ListedUpstream, ...],
-        *,
-        position: int,
-        now: float,
+        self, entries: tuple[listing.ListedUpstream, ...], *, position: int
     ) -> bool:
         """Takes the entries in force at another node.
 
@@ -81,7 +69,6 @@
         """
         if position < self._position:
             return False
-        self._note_pace(position, now)
         self._position = position
         changed = False
         names = {entry.upstream.upstream_id for entry in entries}
@@ -93,6 +80,11 @@
             changed |= self._put(entry.upstream.upstream_id, entry)
         return changed
 
+    @property
+    def held_count(self) -> int:
+        """Entries that are missing and held for some time."""
+        return len(self._held)
+
     @property
     def next_wakeup(self) -> float | None:
         """Time at which `expire` may remove an entry, or None."""
@@ -109,7 +101,6 @@
         """
         if changes.position < self._position:
             return False
-        pace_share = self._note_pace(changes.position, now)
         self._position = changes.position
         changed = False
         present = set()
@@ -126,18 +117,25 @@
             missing = set(self._entries) - present
             if self._regained:
                 self._regained = False
-                self._judge_failure(pace_share, len(missing), now)
+                self._judge_failure(missing, now)
             for upstream_id in missing:
                 changed |= self._remove(upstream_id, now)
         return changed
 
-    def _judge_failure(
-        self, pace_share: float, missing: int, now: float
-    ) -> None:
-        """Holds missing entries where they may have lapsed in an outage."""
-        many = missing > _LAPSED_SHARE * len(self._entries)
-        if pace_share < _DOWN_SHARE or (pace_share < _UP_SHARE and many):
-            self._grace_until = now + RETURN_GRACE_S
+    def _judge_failure(self, missing: set[str], now: float) -> None:
+        """Holds missing entries of the services that lapsed in an outage."""
+        listed = collections.Counter(
+            entry.upstream.service for entry in self._entries.values()
+        )
+        gone = collections.Counter(
+            self._entries[name].upstream.service for name in missing
+        )
+        self._grace_until = now + RETURN_GRACE_S
+        self._lapsed_services = {
+            service
+            for service, count in gone.items()
+            if count > _LAPSED_SHARE * listed[service]
+        }
 
     def expire(self, now: float) -> bool:
         """Removes entries that did not come back; returns whether any."""
@@ -147,18 +145,6 @@
             self._forget(upstream_id)
         return bool(due)
 
-    def _note_pace(self, position: int, now: float) -> float:
-        """Returns the store's pace since the last read, 1 being the usual."""
-        read_at = self._read_at
-        self._read_at = now
-        if read_at is None or now <= read_at:
-            return _UNKNOWN_SHARE
-        pace_per_s = (position - self._position) / (now - read_at)
-        usual_per_s = self._pace_per_s
-        if not self._regained:
-            self._pace_per_s += _PACE_WEIGHT * (pace_per_s - usual_per_s)
-        return pace_per_s / usual_per_s if usual_per_s > 0 else _UNKNOWN_SHARE
-
     def _put(self, upstream_id: str, entry: listing.ListedUpstream) -> bool:
         order = _Order(
             started_ms=entry.upstream.started_ms, sequence=entry.sequence
@@ -178,7 +164,8 @@
     def _remove(self, upstream_id: str, now: float) -> bool:
         if upstream_id not in self._entries:
             return False
-        if now < self._grace_until:
+        service = self._entries[upstream_id].upstream.service
+        if now < self._grace_until and service in self._lapsed_services:
             self._held.setdefault(upstream_id, self._grace_until)
             return False
         self._held.pop(upstream_id, None)
--- a/tanagerspoke/transport/logs.py
+++ b/tanagerspoke/transport/logs.py
@@ -91,19 +91,17 @@
 
 
 def configure(
-    *, program: str, level: str, descriptor: int | None = None
+    *, program: str, level: str, handler: logging.Handler | None = None
 ) -> None:
-    """Sends all log records of this process to a descriptor.
+    """Sends all log records of this process to a handler.
 
     Args:
         program: name of the program in every line.
         level: least level that is written.
-        descriptor: standard output by default; commands that print their
-            result there use standard error.
+        handler: standard output without blocking by default.
     """
-    if descriptor is None:
-        descriptor = sys.stdout.fileno()
-    handler = NonBlockingHandler(descriptor=descriptor)
+    if handler is None:
+        handler = NonBlockingHandler(descriptor=sys.stdout.fileno())
     handler.setFormatter(JsonFormatter(program=program))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/tanagerspoke/transport/store_follower.py
+++ b/tanagerspoke/transport/store_follower.py
@@ -251,6 +251,8 @@
         first = self._upstreams_read_at == float("-inf")
         self._upstreams_read_at = now
         changed = self._listing.take(changes, now)
+        if self._listing.next_wakeup is not None:
+            log.info("entries_held", extra={"count": self._listing.held_count})
         if self._listing.expire(now) or changed or first:
             self._on_upstreams()
 
