Cancel the other attempts of a call in one place

Cause: the last read found _cancel_others line for line in both schedulers, a header name that nothing uses, and an age computed beside its own method. Change: call_attempts.cancel_others serves both; the name is gone; the age is asked of the record. Behaviour is the same.

--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -7,6 +7,7 @@
 
 from tanagerspoke.coordination import attempt_learning
 from tanagerspoke.coordination import balancing
+from tanagerspoke.coordination import call_attempts
 from tanagerspoke.coordination import probe_rounds
 from tanagerspoke.coordination import retries
 from tanagerspoke.coordination import retry_budget
@@ -342,7 +343,7 @@
                 basis=calls.DispatchBasis(
                     own=record.own,
                     in_flight=in_flight,
-                    report_age_s=now - record.reported_at,
+                    report_age_s=record.report_age_s(now),
                     slowness=record.current_slowness(now),
                     open_upstreams=len(self._view.open),
                 ),
@@ -401,25 +402,9 @@
         actions.append(
             calls.Settle(call_id=state.call.call_id, attempt=attempt)
         )
-        self._cancel_others(state, attempt, actions)
+        actions.extend(call_attempts.cancel_others(state, kept=attempt))
         self._forget(state)
 
-    def _cancel_others(
-        self,
-        state: _CallState,
-        kept: int | None,
-        actions: list[calls.SchedulerAction],
-    ) -> None:
-        actions.extend(
-            calls.CancelAttempt(
-                call_id=state.call.call_id,
-                attempt=number,
-                upstream_id=attempt.record.upstream.upstream_id,
-            )
-            for number, attempt in state.attempts.items()
-            if number != kept
-        )
-
     def _note_failure(
         self, state: _CallState, attempt: int, result: calls.AttemptResult
     ) -> None:
@@ -489,7 +474,9 @@
             return
         if state.started is None:
             state.started = event.attempt
-            self._cancel_others(state, event.attempt, actions)
+            actions.extend(
+                call_attempts.cancel_others(state, kept=event.attempt)
+            )
 
     def _leave(
         self, call_id: int, actions: list[calls.SchedulerAction]
@@ -501,7 +488,7 @@
         if state.queued:
             state.queued = False
             self._queue.remove(call_id)
-        self._cancel_others(state, None, actions)
+        actions.extend(call_attempts.cancel_others(state, kept=None))
         self._forget(state)
 
     def _advance(
--- a/tanagerspoke/coordination/scheduling.py
+++ b/tanagerspoke/coordination/scheduling.py
@@ -6,6 +6,7 @@
 
 from tanagerspoke.coordination import admission
 from tanagerspoke.coordination import balancing
+from tanagerspoke.coordination import call_attempts
 from tanagerspoke.coordination import hedging
 from tanagerspoke.coordination import learning
 from tanagerspoke.coordination import retries
@@ -360,26 +361,10 @@
             calls.Settle(call_id=state.call.call_id, attempt=attempt)
         )
         if state.attempts:
-            self._cancel_others(state, attempt, actions)
+            actions.extend(call_attempts.cancel_others(state, kept=attempt))
         else:
             del self._calls[state.call.call_id]
 
-    def _cancel_others(
-        self,
-        state: _CallState,
-        kept: int | None,
-        actions: list[calls.SchedulerAction],
-    ) -> None:
-        actions.extend(
-            calls.CancelAttempt(
-                call_id=state.call.call_id,
-                attempt=number,
-                upstream_id=attempt.record.upstream.upstream_id,
-            )
-            for number, attempt in state.attempts.items()
-            if number != kept
-        )
-
     def _note_failure(
         self, state: _CallState, attempt: int, result: calls.AttemptResult
     ) -> None:
@@ -454,7 +439,9 @@
             return
         if state.started is None:
             state.started = event.attempt
-            self._cancel_others(state, event.attempt, actions)
+            actions.extend(
+                call_attempts.cancel_others(state, kept=event.attempt)
+            )
 
     def _leave(
         self, call_id: int, actions: list[calls.SchedulerAction]
@@ -467,7 +454,7 @@
             state.queued = False
             self._queue.remove(state.call)
         if state.call.idempotent:
-            self._cancel_others(state, None, actions)
+            actions.extend(call_attempts.cancel_others(state, kept=None))
         # A write runs on: its outcome has to become known for repeats.
         self._forget(state)
 
--- a/tanagerspoke/platform/headers.py
+++ b/tanagerspoke/platform/headers.py
@@ -20,7 +20,6 @@
 SIGNATURE = "X-Response-Signature"
 NOT_RUN = "X-Not-Executed"
 LOAD = "X-Server-Load"
-UPSTREAM_ID = "X-Instance-Id"
 
 _WRONG_UPSTREAM_STATUS = 421
 # Where a refusal names no time to come back after.
