Add a fault soak of the edge's real processes

Cause: the edge had no randomized soak; the one that exists drives gateway and agent. Change: stand-ins of the store (with faults, lapses and a compaction) and of routed workers as programs, links that delay or stop one direction, and bench.edge_soak: faults planned from a seed, callers that keep their connections, checks of MIXED, UNASKED, TWICE, REFUSED, DENIED, CONFIG, DRAIN, LOST and RECOVER. test_edges lists the new stand-in among the modules that join the product with the platform; what it looks for is unchanged.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -1,10 +1,10 @@
 """Random faults of the soak test, planned from a seed."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import dataclasses
 import random
-from typing import Any, TypeAlias
+from typing import Any, Generic, TypeAlias, TypeVar
 
 from tests import stack as stacks
 from tests import tcp_link
@@ -76,16 +76,17 @@
     link: str
 
 
+F = TypeVar("F")
 Fault: TypeAlias = Kill | Freeze | StandinFault | CutLink | StallLink
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Planned:
+class Planned(Generic[F]):
     """A fault with its times in seconds after the start."""
 
     start_s: float
     end_s: float
-    fault: Fault
+    fault: F
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -102,20 +103,26 @@
 ) -> tuple[tuple[Planned, ...], ...]:
     """Returns the faults of each lane; a seed always gives the same ones."""
     rng = random.Random(seed)
-    return tuple(
-        tuple(_plan_lane(rng, seconds, targets)) for _ in range(_LANES)
+    return plan_lanes(
+        rng=rng, seconds=seconds, draw=lambda: _draw(rng, targets)
     )
 
 
+def plan_lanes(
+    *, rng: random.Random, seconds: float, draw: Callable[[], F]
+) -> tuple[tuple[Planned[F], ...], ...]:
+    """Returns lanes of faults that follow one another, with random times."""
+    return tuple(tuple(_plan_lane(rng, seconds, draw)) for _ in range(_LANES))
+
+
 def _plan_lane(
-    rng: random.Random, seconds: float, targets: Targets
-) -> list[Planned]:
+    rng: random.Random, seconds: float, draw: Callable[[], F]
+) -> list[Planned[F]]:
     planned = []
     at_s = rng.uniform(0.0, _MAX_PAUSE_S)
     while at_s < seconds:
         end_s = at_s + rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S)
-        fault = _draw(rng, targets)
-        planned.append(Planned(start_s=at_s, end_s=end_s, fault=fault))
+        planned.append(Planned(start_s=at_s, end_s=end_s, fault=draw()))
         at_s = end_s + rng.uniform(0.0, _MAX_PAUSE_S)
     return planned
 
@@ -138,17 +145,10 @@
     return StandinFault(name="platform", faults=rng.choice(_PLATFORM_FAULTS))
 
 
-class Injector:
+class LaneRunner:
     """Sets planned faults and ends them; a target has one fault at a time."""
 
-    def __init__(
-        self,
-        *,
-        stack: stacks.Stack,
-        links: Mapping[str, tcp_link.TcpLink],
-    ) -> None:
-        self._stack = stack
-        self._links = links
+    def __init__(self) -> None:
         self._hit: set[str] = set()
         self.injected = 0
         self.skipped = 0
@@ -158,20 +158,56 @@
         started = asyncio.get_running_loop().time()
         for planned in lane:
             await _sleep_until(started + planned.start_s)
-            target = _target(planned.fault)
+            target = self.target(planned.fault)
             if target in self._hit:
                 self.skipped += 1
                 continue
             self._hit.add(target)
             try:
-                await self._set(planned.fault)
+                await self.set(planned.fault)
                 self.injected += 1
                 await _sleep_until(started + planned.end_s)
             finally:
-                await self._end(planned.fault)
+                await self.end(planned.fault)
                 self._hit.discard(target)
 
-    async def _set(self, fault: Fault) -> None:
+    def target(self, fault: Any) -> str:
+        """Returns the name of what the fault hits."""
+        raise NotImplementedError
+
+    async def set(self, fault: Any) -> None:
+        """Begins a fault."""
+        raise NotImplementedError
+
+    async def end(self, fault: Any) -> None:
+        """Ends a fault."""
+        raise NotImplementedError
+
+
+class Injector(LaneRunner):
+    """Faults of gateways, agents, the platform and upstreams."""
+
+    def __init__(
+        self,
+        *,
+        stack: stacks.Stack,
+        links: Mapping[str, tcp_link.TcpLink],
+    ) -> None:
+        super().__init__()
+        self._stack = stack
+        self._links = links
+
+    def target(self, fault: Fault) -> str:
+        """Implements `LaneRunner`."""
+        match fault:
+            case Kill(program=name) | Freeze(program=name):
+                return name
+            case CutLink(link=name) | StallLink(link=name):
+                return name
+        return fault.name
+
+    async def set(self, fault: Fault) -> None:
+        """Implements `LaneRunner`."""
         match fault:
             case Kill(program=program):
                 self._stack[program].kill()
@@ -184,7 +220,8 @@
             case StallLink(link=link):
                 self._links[link].stall()
 
-    async def _end(self, fault: Fault) -> None:
+    async def end(self, fault: Fault) -> None:
+        """Implements `LaneRunner`."""
         match fault:
             case Kill(program=program):
                 self._stack[program].start()
@@ -196,14 +233,5 @@
                 self._links[link].restore()
 
 
-def _target(fault: Fault) -> str:
-    match fault:
-        case Kill(program=name) | Freeze(program=name):
-            return name
-        case CutLink(link=name) | StallLink(link=name):
-            return name
-    return fault.name
-
-
 async def _sleep_until(at: float) -> None:
     await asyncio.sleep(max(0.0, at - asyncio.get_running_loop().time()))
--- a/tanagerspoke/platform/store.py
+++ b/tanagerspoke/platform/store.py
@@ -15,9 +15,6 @@
 from tanagerspoke.settings import options
 from tanagerspoke.transport import store_source
 
-_CONFIG_TABLE = "op"
-_CONFIG_KEY = "config"
-_WORKERS_TABLE = "servers"
 _NODES_TABLE = "edge_nodes"
 
 # The store answers in a few milliseconds; one that takes this long counts as
@@ -49,28 +46,28 @@
 
     async def read_routing(self) -> routing.RoutingChange:
         """Implements `StoreSource`."""
-        return _routing_change(await self._read_table(_CONFIG_TABLE))
+        return _routing_change(await self._read_table(wire.CONFIG_TABLE))
 
     async def wait_routing(
         self, *, position: int, wait_s: float
     ) -> routing.RoutingChange:
         """Implements `StoreSource`."""
         return _routing_change(
-            await self._feed(_CONFIG_TABLE, after=position, wait_s=wait_s)
+            await self._feed(wire.CONFIG_TABLE, after=position, wait_s=wait_s)
         )
 
     async def read_upstreams(
         self, *, services: frozenset[str] | None
     ) -> listing.ListChanges:
         """Implements `StoreSource`."""
-        reply = await self._read_table(_WORKERS_TABLE)
+        reply = await self._read_table(wire.WORKERS_TABLE)
         return _list_changes(reply, services=services, whole=True)
 
     async def changed_upstreams(
         self, *, position: int, services: frozenset[str] | None
     ) -> listing.ListChanges:
         """Implements `StoreSource`."""
-        reply = await self._feed(_WORKERS_TABLE, after=position, wait_s=0.0)
+        reply = await self._feed(wire.WORKERS_TABLE, after=position, wait_s=0.0)
         return _list_changes(reply, services=services, whole=False)
 
     async def register_node(self, node: news.Node) -> None:
@@ -156,7 +153,7 @@
 
 def _routing_change(reply: wire.RowsReply) -> routing.RoutingChange:
     for row in reply.rows:
-        if row.key != _CONFIG_KEY or row.value is None:
+        if row.key != wire.CONFIG_KEY or row.value is None:
             continue
         try:
             table = manifest.decode_manifest(row.value)
--- a/tanagerspoke/platform/wire.py
+++ b/tanagerspoke/platform/wire.py
@@ -2,6 +2,11 @@
 
 import msgspec
 
+# Tables that the platform's operator and workers write.
+CONFIG_TABLE = "op"
+CONFIG_KEY = "config"
+WORKERS_TABLE = "servers"
+
 
 class SplitPart(msgspec.Struct, frozen=True, kw_only=True):
     """A service's part of a route."""
--- /dev/null
+++ b/tanagerspoke/settings/edge_standins.py
@@ -0,0 +1,54 @@
+"""Options of the stand-ins that the edge runs against."""
+
+import pathlib
+from typing import Annotated
+
+import pydantic
+from pydantic import dataclasses
+
+from tanagerspoke.settings import options
+
+_CONFIG = pydantic.ConfigDict(extra="forbid")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class StandinStore:
+    """Options of the stand-in of the metadata store.
+
+    Attributes:
+        lapse_s: workers that are silent for so long lose their entry.
+    """
+
+    listen: options.Endpoint
+    lapse_s: options.PositiveSeconds = 1.5
+    log_level: options.LogLevel = "INFO"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class StandinWorker:
+    """Options of the stand-in of a worker that the edge calls.
+
+    Attributes:
+        advertised: address that its entry names; a link may stand between.
+        store: where the worker keeps its entry.
+        queue_length: requests that wait for a slot; further ones are shed.
+        work_ms: mean of the work times.
+        heartbeat_s: time between two reports of its entry.
+        drain_s: time that it serves on after it reported its leaving.
+        run_log: file with one JSON line for each request that it ran.
+    """
+
+    name: str
+    service: str
+    availability_zone: str
+    listen: options.Endpoint
+    advertised: options.Endpoint
+    store: options.Endpoint
+    run_log: pathlib.Path
+    slots: Annotated[int, pydantic.Field(ge=1)] = 3
+    queue_length: Annotated[int, pydantic.Field(ge=0)] = 6
+    work_ms: Annotated[float, pydantic.Field(gt=0)] = 20.0
+    heartbeat_s: options.PositiveSeconds = 0.5
+    drain_s: Annotated[float, pydantic.Field(ge=0)] = 2.0
+    seed: int = 0
+    log_level: options.LogLevel = "INFO"
--- a/tanagerspoke/standins/faults.py
+++ b/tanagerspoke/standins/faults.py
@@ -37,6 +37,27 @@
     hosts_lag_s: _LagSeconds | None = None
 
 
+class StoreFaults(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Faults of the metadata store.
+
+    Attributes:
+        down: every call gets 503.
+        silent: calls are taken and never answered.
+        resets: connections are reset as soon as a call is read.
+        delay_ms: delay of each call before it takes effect.
+        lose_answers: a transaction takes effect, then the connection closes
+            without a response.
+    """
+
+    down: bool = False
+    silent: bool = False
+    resets: bool = False
+    delay_ms: _Milliseconds = 0.0
+    lose_answers: bool = False
+
+
 class UpstreamFaults(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
--- a/tests/platform/test_edges.py
+++ b/tests/platform/test_edges.py
@@ -6,7 +6,12 @@
 
 _PACKAGE = pathlib.Path(__file__).parent.parent.parent / "tanagerspoke"
 # Programs and stand-ins join the product with the platform.
-_IMPORTERS = ("platform", "commands/edge.py", "standins/metadata_store.py")
+_IMPORTERS = (
+    "platform",
+    "commands/edge.py",
+    "standins/metadata_store.py",
+    "standins/routed_worker.py",
+)
 _WIRE_NAMES = re.compile(
     "|".join(
         (
--- a/tests/stack.py
+++ b/tests/stack.py
@@ -88,9 +88,15 @@
     """One program under test."""
 
     def __init__(
-        self, *, name: str, argv: list[str], log_path: pathlib.Path
+        self,
+        *,
+        name: str,
+        argv: list[str],
+        log_path: pathlib.Path,
+        env: dict[str, str] | None = None,
     ) -> None:
         self.name = name
+        self._env = env
         self.log_path = log_path
         self._argv = argv
         self._popen: subprocess.Popen[bytes] | None = None
@@ -98,7 +104,9 @@
     def start(self) -> None:
         """Starts, or starts again."""
         with self.log_path.open("ab") as log:
-            self._popen = subprocess.Popen(self._argv, stdout=log, stderr=log)
+            self._popen = subprocess.Popen(
+                self._argv, stdout=log, stderr=log, env=self._env
+            )
 
     @property
     def pid(self) -> int:
@@ -131,6 +139,11 @@
         self._popen.terminate()
         return self._popen.wait(timeout=WAIT_S)
 
+    def wait(self) -> int:
+        """Waits until it has ended; returns the exit code."""
+        assert self._popen is not None
+        return self._popen.wait(timeout=WAIT_S)
+
     def poll(self) -> int | None:
         """Returns the exit code, or None while it runs."""
         assert self._popen is not None
--- a/tests/tcp_link.py
+++ b/tests/tcp_link.py
@@ -22,14 +22,20 @@
 
     Attributes:
         forwarded_bytes: payload bytes, both directions together.
+        delay_s: how long each piece is held back in each direction.
     """
 
-    def __init__(self, *, target_port: int) -> None:
+    def __init__(
+        self, *, target_port: int, target_address: str = "127.0.0.1"
+    ) -> None:
         self.forwarded_bytes = 0
-        self._target_port = target_port
+        self.delay_s = 0.0
+        self._target = (target_address, target_port)
         self._state = State.OPEN
-        self._flowing = asyncio.Event()
-        self._flowing.set()
+        # Towards the target, and back from it.
+        self._flowing = (asyncio.Event(), asyncio.Event())
+        for flowing in self._flowing:
+            flowing.set()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -42,7 +48,8 @@
         assert self._server is not None
         self._server.close()
         self.cut()
-        self._flowing.set()
+        for flowing in self._flowing:
+            flowing.set()
         # Cancelled connection tasks would be logged by asyncio's streams.
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
@@ -61,12 +68,20 @@
     def stall(self) -> None:
         """Stops forwarding; connections stay open."""
         self._state = State.STALLED
-        self._flowing.clear()
+        for flowing in self._flowing:
+            flowing.clear()
+
+    def stall_answers(self) -> None:
+        """Stops forwarding what comes back from the target."""
+        self._state = State.STALLED
+        self._flowing[1].clear()
 
     def restore(self) -> None:
         """Opens the link again."""
         self._state = State.OPEN
-        self._flowing.set()
+        self.delay_s = 0.0
+        for flowing in self._flowing:
+            flowing.set()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -80,7 +95,7 @@
             return
         try:
             far_reader, far_writer = await asyncio.open_connection(
-                "127.0.0.1", self._target_port
+                *self._target
             )
         except OSError:
             writer.transport.abort()
@@ -89,8 +104,8 @@
         self._writers |= ends
         try:
             await asyncio.gather(
-                self._forward(reader, far_writer),
-                self._forward(far_reader, writer),
+                self._forward(reader, far_writer, self._flowing[0]),
+                self._forward(far_reader, writer, self._flowing[1]),
             )
         finally:
             self._writers -= ends
@@ -98,11 +113,16 @@
                 end.close()
 
     async def _forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        flowing: asyncio.Event,
     ) -> None:
         try:
             while data := await reader.read(65_536):
-                await self._flowing.wait()
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                await flowing.wait()
                 self.forwarded_bytes += len(data)
                 writer.write(data)
                 await writer.drain()
