--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -139,9 +139,13 @@
         self.nodes[name] = found
         return found
 
+    def settings_path(self, name: str) -> pathlib.Path:
+        """Returns the settings file of an edge."""
+        return self._directory / f"{name}.toml"
+
     def run_edge(self, node: Node, *, store_port: int) -> None:
         """Starts an edge that reaches the store at a port."""
-        path = self._directory / f"{node.name}.toml"
+        path = self.settings_path(node.name)
         last_port = node.peers_port + _PORTS_BETWEEN_NODES
         path.write_text(
             f"""
--- a/tanagerspoke/commands/edge.py
+++ b/tanagerspoke/commands/edge.py
@@ -34,12 +34,3 @@
             load=functools.partial(boot.load, path),
         ),
     )
-
-
-def main() -> None:
-    """Entry point."""
-    app()
-
-
-if __name__ == "__main__":
-    main()
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -49,6 +49,8 @@
 # What an upstream of another zone costs, as added latency: its answers cross
 # zones, which is slower and is paid for by the byte.
 _ZONE_DISTANCE_S = 0.03
+# The settings file may change without a signal.
+_SETTINGS_INTERVAL_S = 1.0
 # An older report, or none, has no age worth a number.
 _MAX_LOGGED_AGE_S = 3600.0
 # Before the first configuration is known.
@@ -91,6 +93,7 @@
         self._started_at = time.monotonic()
         self._routes = routes.RouteState(rng=self._rng)
         self._limits = _FIRST_LIMITS
+        self._settings_error = ""
         self._upstreams: dict[str, tuple[upstreams.Upstream, ...]] = {}
         self._upstreams_known = False
         self._nodes: int | None = None
@@ -174,10 +177,18 @@
 
         Addresses and the stop's grace are those of the process's start.
         """
+        self._read_settings(asked=True)
+
+    def _read_settings(self, *, asked: bool) -> None:
         try:
             cfg = self._load()
         except exceptions.SettingsError as exc:
-            log.error("settings_not_reloaded", extra={"error": str(exc)})
+            if asked or str(exc) != self._settings_error:
+                log.error("settings_not_reloaded", extra={"error": str(exc)})
+            self._settings_error = str(exc)
+            return
+        self._settings_error = ""
+        if cfg == self._cfg and not asked:
             return
         changed = [
             field.name
@@ -194,6 +205,12 @@
             )
         log.info("settings_reloaded", extra={"changed": changed})
 
+    @mode.Service.task
+    async def _watch_settings(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_SETTINGS_INTERVAL_S)
+            self._read_settings(asked=False)
+
     async def on_stop(self) -> None:
         """Closes the ports."""
         await self._server.close()
