Keep each gateway's pulls to its part of the declared share

Ruled out: better estimates (every report is stale), parts by rank (a gateway is told the number of gateways only). Result: test_pulls_of_the_fleet_leave_slots_to_lookups passes.

--- a/tanagerspoke/coordination/scheduling.py
+++ b/tanagerspoke/coordination/scheduling.py
@@ -243,12 +243,9 @@
         need_free_slot: bool = False,
     ) -> loads.UpstreamLoad | None:
         call_class = state.call.call_class
-        max_busy = None
-        if call_class is calls.CallClass.PULL and self._on.classes:
-            if self._own_pulls >= self._max_pulls():
-                return None
-            if self._own_pulls >= self._pull_cap():
-                max_busy = self._pull_slot_share
+        limited = call_class is calls.CallClass.PULL and self._on.classes
+        if limited and self._own_pulls >= self._pull_cap():
+            return None
         tried = state.tried
         # A retry may return to an upstream when there is no other; a hedge
         # there would share its fate.
@@ -265,7 +262,6 @@
             tried=tried,
             entitled=entitled,
             need_free_slot=need_free_slot,
-            max_busy=max_busy,
         )
 
     def _dispatch(
@@ -561,17 +557,15 @@
             self._arm_hedge(call, now)
 
     def _pull_cap(self) -> int:
-        """Returns the pulls that this gateway may always run.
+        """Returns the most pulls that this gateway runs.
 
-        Beyond it, up to the share of all slots, a pull needs an upstream
-        that stays below the share with it: other gateways leave theirs.
+        It is this gateway's part of the declared share, rounded down: what
+        the others run is an estimate, and going by it the pulls of a fleet
+        held 24 of 40 slots where 20 were declared.
         """
         total = self._view.total_slots
         return max(1, int(self._pull_slot_share * total / self._gateways))
 
-    def _max_pulls(self) -> int:
-        return max(1, int(self._pull_slot_share * self._view.total_slots))
-
     def _queue_limit(self) -> int:
         return max(_MIN_QUEUE, _QUEUE_PER_SLOT * self._view.total_slots)
 
