Tell ejections, store calls, queue wait and won hedges

Change: the scheduler says when it ejects an upstream; the edge logs it (upstream_ejected) and counts it. Counters of store calls by result and of hedges that were answered first, a histogram of the wait before the first attempt.

--- a/tanagerspoke/coordination/attempt_learning.py
+++ b/tanagerspoke/coordination/attempt_learning.py
@@ -48,8 +48,8 @@
         is_hedge: bool,
         elapsed_s: float,
         now: float,
-    ) -> None:
-        """Takes the end of an attempt.
+    ) -> bool:
+        """Takes the end of an attempt; returns whether it ejects the upstream.
 
         Args:
             call: the attempt's call.
@@ -75,14 +75,15 @@
             case calls.TimedOut():
                 record.learn_slow(ratio=ratio, now=now)
                 if ratio >= _TIMEOUT_RATIO:
-                    self._count_failure(record, now)
+                    return self._count_failure(record, now)
             case calls.Shed():
                 record.learn_failure(now)
             case calls.WrongUpstream():
                 # Its address belongs to another process now.
                 self._view.mark_draining(record.upstream.upstream_id)
             case _:
-                self._count_failure(record, now)
+                return self._count_failure(record, now)
+        return False
 
     def learn_slow(
         self,
@@ -98,9 +99,9 @@
     def _ratio(self, call: calls.Call, elapsed_s: float) -> float:
         return elapsed_s / max(_MIN_MEDIAN_S, self.quantile_s(call, 0.5))
 
-    def _count_failure(self, record: loads.UpstreamLoad, now: float) -> None:
+    def _count_failure(self, record: loads.UpstreamLoad, now: float) -> bool:
         record.learn_failure(now)
-        self._ejector.failed(record=record, now=now)
+        return self._ejector.failed(record=record, now=now)
 
     def _times_of(self, call: calls.Call) -> work_times.WorkTimes:
         found = self._times.get(call.route)
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -369,7 +369,7 @@
         record.own -= 1
         self._own -= 1
         self._view.released(record)
-        self._learner.learn(
+        ejected = self._learner.learn(
             call=state.call,
             record=record,
             result=event.result,
@@ -378,6 +378,13 @@
             elapsed_s=now - attempt.started_at,
             now=now,
         )
+        if ejected:
+            actions.append(
+                calls.Ejected(
+                    upstream_id=record.upstream.upstream_id,
+                    for_s=record.ejected_until - now,
+                )
+            )
         if state.done:
             self._forget(state)
             return
--- a/tanagerspoke/protocol/calls.py
+++ b/tanagerspoke/protocol/calls.py
@@ -271,6 +271,14 @@
     upstream_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ejected:
+    """The upstream gets no calls for `for_s` seconds, since it failed."""
+
+    upstream_id: str
+    for_s: float
+
+
 SchedulerAction: TypeAlias = (
-    Dispatch | CancelAttempt | Refuse | Settle | Fail | Probe
+    Dispatch | CancelAttempt | Refuse | Settle | Fail | Probe | Ejected
 )
--- a/tanagerspoke/transport/dispatcher.py
+++ b/tanagerspoke/transport/dispatcher.py
@@ -76,6 +76,10 @@
     del action, ended, elapsed_s
 
 
+def _ignore_ejection(action: calls.Ejected) -> None:
+    del action
+
+
 class ServiceDispatcher:
     """Owns the scheduler and the running calls of one service."""
 
@@ -92,6 +96,7 @@
         on_attempt_ended: Callable[
             [calls.Dispatch, upstream_client.Ended, float], None
         ] = _ignore_end,
+        on_ejected: Callable[[calls.Ejected], None] = _ignore_ejection,
     ) -> None:
         self._scheduler = scheduler
         self._client = client
@@ -101,6 +106,7 @@
         self._on_report = on_report
         self._on_dispatch = on_dispatch
         self._on_attempt_ended = on_attempt_ended
+        self._on_ejected = on_ejected
         self._upstreams: dict[str, upstreams.Upstream] = {}
         self._running: dict[int, _Running] = {}
         self._events: collections.deque[calls.SchedulerEvent] = (
@@ -278,6 +284,9 @@
         if isinstance(action, calls.Probe):
             self._probe(action.upstream_id)
             return
+        if isinstance(action, calls.Ejected):
+            self._on_ejected(action)
+            return
         running = self._running.get(action.call_id)
         if running is None:
             return
--- a/tanagerspoke/transport/edge_metrics.py
+++ b/tanagerspoke/transport/edge_metrics.py
@@ -84,6 +84,28 @@
             "Second attempts beside others",
             ("service",),
         )
+        self._won_hedges = counter(
+            "tanagerspoke_edge_won_hedges",
+            "Second attempts whose answer came first",
+            ("service",),
+        )
+        self._ejections = counter(
+            "tanagerspoke_edge_ejections",
+            "Times that an upstream was ejected for its failures",
+            ("service",),
+        )
+        self._store_calls = counter(
+            "tanagerspoke_edge_store_calls",
+            "Calls to the platform's store",
+            ("result",),
+        )
+        self._queue_wait = duration_histogram.DurationHistogram(
+            name="tanagerspoke_edge_queue_wait_seconds",
+            documentation="Time from headers to the first attempt",
+            labels=("service",),
+            bounds_s=_BUCKETS_S,
+        )
+        registry.register(self._queue_wait)
         self._retries = counter(
             "tanagerspoke_edge_retries", "Attempts after others", ("service",)
         )
@@ -125,6 +147,22 @@
         elif action.attempt > 1:
             self._retries.labels(service).inc()
 
+    def count_won_hedge(self, service: str) -> None:
+        """Counts a second attempt that was answered first."""
+        self._won_hedges.labels(service).inc()
+
+    def count_ejection(self, service: str) -> None:
+        """Counts an upstream that gets no calls for a while."""
+        self._ejections.labels(service).inc()
+
+    def count_store_call(self, result: str) -> None:
+        """Counts a call to the store: `ok`, `history_lost` or `failed`."""
+        self._store_calls.labels(result).inc()
+
+    def observe_queue_wait(self, service: str, wait_s: float) -> None:
+        """Takes how long a call waited for its first attempt."""
+        self._queue_wait.labels(service).observe(wait_s)
+
     def observe_attempt(
         self, service: str, ended: upstream_client.Ended, elapsed_s: float
     ) -> None:
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -111,6 +111,7 @@
             on_routing=self._take_routing,
             on_upstreams=self._take_upstreams,
             on_nodes=self._take_nodes,
+            on_store_call=self._metrics.count_store_call,
         )
         self._server = caller_server.CallerServer(
             listen=cfg.callers,
@@ -318,6 +319,7 @@
             health_path=functools.partial(self._health_path, service),
             on_dispatch=functools.partial(self._note_dispatch, service),
             on_attempt_ended=self._note_attempt_end,
+            on_ejected=functools.partial(self._note_ejection, service),
         )
         self._metrics.watch_service(
             service=service,
@@ -352,6 +354,22 @@
         record = self._records.get(action.call_id)
         if record is not None:
             record.trail.append(_describe_dispatch(record, action))
+            if action.attempt == 1:
+                self._metrics.observe_queue_wait(
+                    service, time.monotonic() - record.started_at
+                )
+
+    def _note_ejection(self, service: str, action: calls.Ejected) -> None:
+        self._metrics.count_ejection(service)
+        # Seldom enough for a line each: three failures in a row come before.
+        log.warning(
+            "upstream_ejected",
+            extra={
+                "service": service,
+                "upstream": action.upstream_id,
+                "for_s": round(action.for_s, 3),
+            },
+        )
 
     def _note_attempt_end(
         self,
@@ -363,6 +381,8 @@
         if record is None:
             return
         self._metrics.observe_attempt(record.service, ended, elapsed_s)
+        if action.is_hedge and isinstance(ended.result, calls.Answered):
+            self._metrics.count_won_hedge(record.service)
         record.trail.append(
             {
                 "end": action.attempt,
--- a/tanagerspoke/transport/store_follower.py
+++ b/tanagerspoke/transport/store_follower.py
@@ -92,6 +92,7 @@
         on_routing: Callable[[routing.RoutingTable], None],
         on_upstreams: Callable[[], None],
         on_nodes: Callable[[tuple[news.Node, ...]], None],
+        on_store_call: Callable[[str], None],
     ) -> None:
         super().__init__()
         self._cfg = cfg
@@ -100,6 +101,7 @@
         self._on_routing = on_routing
         self._on_upstreams = on_upstreams
         self._on_nodes = on_nodes
+        self._on_store_call = on_store_call
         self._node = news.Node(
             name=cfg.node,
             availability_zone=cfg.availability_zone,
@@ -296,15 +298,18 @@
             answer = await call
         except exceptions.HistoryLostError:
             self._health.answered()
+            self._on_store_call("history_lost")
             log.info("store_history_lost")
             return None
         except exceptions.PlatformError as exc:
             self._health.failed(exc)
+            self._on_store_call("failed")
             await asyncio.sleep(self._retry_delay_s)
             self._retry_delay_s = min(_MAX_RETRY_S, 2.0 * self._retry_delay_s)
             return None
         self._retry_delay_s = _MIN_RETRY_S
         self._health.answered()
+        self._on_store_call("ok")
         return answer
 
     def _regain(self) -> None:
--- a/tanagerspoke/transport/zone_news.py
+++ b/tanagerspoke/transport/zone_news.py
@@ -42,6 +42,7 @@
         on_routing: Callable[[routing.RoutingTable], None],
         on_upstreams: Callable[[tuple[upstreams.Upstream, ...]], None],
         on_nodes: Callable[[int | None], None],
+        on_store_call: Callable[[str], None] = lambda result: None,
     ) -> None:
         """Creates a closed service.
 
@@ -52,6 +53,7 @@
             on_upstreams: gets the whole list whenever it changed.
             on_nodes: gets the number of nodes, None while this node is not
                 among them.
+            on_store_call: gets the result of each call to the store.
         """
         super().__init__()
         self._cfg = cfg
@@ -74,6 +76,7 @@
             on_routing=self._take_routing,
             on_upstreams=self._take_upstreams,
             on_nodes=self._take_nodes,
+            on_store_call=on_store_call,
         )
         self._server = news_server.NewsServer(
             listen=cfg.peers,
--- a/tests/transport/test_edge_service.py
+++ b/tests/transport/test_edge_service.py
@@ -290,6 +290,31 @@
         assert "tanagerspoke_edge_config_version 1.0" in text
 
 
+async def test_ejection_is_told(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a change of routing that no log line explains."""
+    async with edge_stack.run() as found:
+        await found.wait_ready()
+        found.workers[0].behave = "reset"
+        with caplog.at_level("WARNING"):
+
+            async def told() -> bool:
+                async with found.request("GET", "/read/x") as resp:
+                    await resp.read()
+                return "upstream_ejected" in caplog.text
+
+            await edge_stack.wait_for(told)
+        (record,) = [
+            r for r in caplog.records if r.message == "upstream_ejected"
+        ]
+        assert (record.service, record.upstream) == ("shop", "w0")
+        url = f"http://127.0.0.1:{found.cfgs[0].metrics_port}/metrics"
+        async with found.session.get(url) as resp:
+            text = await resp.text()
+        assert 'edge_ejections_total{service="shop"} 1.0' in text
+        assert 'edge_store_calls_total{result="ok"}' in text
+        assert 'edge_queue_wait_seconds_count{service="shop"}' in text
+
+
 async def test_reload_keeps_what_cannot_be_read(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
