Ask a peer for its state when a node starts while the store is away

With all machines restarted in turn the whole system was away. Change: the role serves control, so that the settings name some machines (seeds); a node that starts again asks them on the internal port for what they know and takes it unless the store answers before.

--- a/tanagerspoke/platform/boot.py
+++ b/tanagerspoke/platform/boot.py
@@ -53,6 +53,9 @@
     # First and last port that are free for talk between nodes.
     internal_port_range: tuple[int, int]
     listen: _Listen
+    # Addresses of some machines' `control`, which may be down; the port means
+    # nothing here, since all machines use the same ports between them.
+    seeds: tuple[str, ...] = ()
     limits: _Limits
     bounds: _Bounds
     platform: _Platform
@@ -94,6 +97,7 @@
         callers=_endpoint(path, "listen.front", boot.listen.front),
         readiness=_endpoint(path, "listen.ready", boot.listen.ready),
         peers=_endpoint(path, "ip", f"{boot.ip}:{boot.internal_port_range[0]}"),
+        known_peers=_known_peers(path, boot),
         link_mbps=boot.limits.link_mbps,
         store=_endpoint(path, "platform.address", boot.platform.address),
         drain_s=bounds.drain_s,
@@ -108,6 +112,18 @@
     )
 
 
+def _known_peers(
+    path: pathlib.Path, boot: _Boot
+) -> tuple[options.Endpoint, ...]:
+    port = boot.internal_port_range[0]
+    addresses = [seed.rpartition(":")[0] for seed in boot.seeds]
+    return tuple(
+        _endpoint(path, "seeds", f"{address}:{port}")
+        for address in addresses
+        if address != boot.ip
+    )
+
+
 def _endpoint(path: pathlib.Path, name: str, value: str) -> options.Endpoint:
     address, _, port = value.rpartition(":")
     try:
--- a/tanagerspoke/settings/edge.py
+++ b/tanagerspoke/settings/edge.py
@@ -41,6 +41,8 @@
         probes_per_upstream_s: most probes that an upstream may get on average,
             from all nodes together.
         metrics_port: port of the node's metrics.
+        known_peers: nodes to ask for their state while the store is away;
+            they may be down, or not exist any more.
         hold_answer_bytes: longest answer that is held whole.
     """
 
@@ -58,5 +60,6 @@
     retry_budget: RetryBudget
     probes_per_upstream_s: _NotNegative
     metrics_port: options.Port = 9464
+    known_peers: tuple[options.Endpoint, ...] = ()
     hold_answer_bytes: Annotated[int, pydantic.Field(ge=1024)] = 262_144
     log_level: options.LogLevel = "INFO"
--- a/tanagerspoke/transport/news_client.py
+++ b/tanagerspoke/transport/news_client.py
@@ -8,12 +8,15 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.protocol import news
+from tanagerspoke.settings import options
 from tanagerspoke.transport import news_codec
 from tanagerspoke.transport import news_server
 
 log = logging.getLogger(__name__)
 
 _CONNECT_TIMEOUT_S = 0.5
+# A whole state takes 0.2 s on a link of 5 Mbit/s.
+_STATE_TIMEOUT_S = 1.0
 # Silence after which a node counts as unreachable: two lost intervals.
 _SILENCE_S = 2.5 * news_server.ALIVE_INTERVAL_S
 
@@ -77,6 +80,27 @@
                 resp.close()
         raise NewsLostError("the stream ended")
 
+    async def ask(self, peer: options.Endpoint) -> list[news.News]:
+        """Returns what a node knows, current or not.
+
+        Raises:
+            NewsLostError: the node does not answer.
+        """
+        url = f"http://{peer.address}:{peer.port}{news_codec.STATE_PATH}"
+        try:
+            async with (
+                asyncio.timeout(_STATE_TIMEOUT_S),
+                self._session.get(url) as resp,
+            ):
+                return [item async for item in news_codec.read(resp.content)]
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            exceptions.ProtocolError,
+        ) as exc:
+            raise NewsLostError(f"no state: {exc!r}") from exc
+
     async def _read(
         self, resp: aiohttp.ClientResponse, on_news: Callable[[news.News], None]
     ) -> None:
--- a/tanagerspoke/transport/news_codec.py
+++ b/tanagerspoke/transport/news_codec.py
@@ -13,6 +13,8 @@
 
 # Path of the news on a node's peer port.
 PATH = "/news"
+# Path of what a node knows at present, current or not; the stream ends then.
+STATE_PATH = "/state"
 _LENGTH = struct.Struct("!I")
 # A routing table of thousands of routes stays well below this.
 _MAX_FRAME_BYTES = 16_777_216
--- a/tanagerspoke/transport/news_server.py
+++ b/tanagerspoke/transport/news_server.py
@@ -31,6 +31,7 @@
         *,
         listen: options.Endpoint,
         snapshot: Callable[[], list[news.News]],
+        known: Callable[[], list[news.News]],
         is_current: Callable[[], bool],
     ) -> None:
         """Creates a closed server.
@@ -38,11 +39,13 @@
         Args:
             listen: peer port of this node.
             snapshot: returns all news that are in force.
+            known: returns what this node knows, current or not.
             is_current: whether this node reads the store itself, and the last
                 reads succeeded.
         """
         self._listen = listen
         self._snapshot = snapshot
+        self._known = known
         self._is_current = is_current
         self._followers: set[asyncio.Queue[bytes]] = set()
         self._streams: set[asyncio.Task[None]] = set()
@@ -52,6 +55,7 @@
         """Opens the port."""
         app = web.Application()
         app.router.add_get(news_codec.PATH, self._stream)
+        app.router.add_get(news_codec.STATE_PATH, self._state)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.0)
         await self._runner.setup()
         await web.TCPSite(
@@ -104,6 +108,11 @@
             log.info("follower_left", extra={"followers": len(self._followers)})
         return resp
 
+    async def _state(self, req: web.Request) -> web.Response:
+        del req
+        frames = [news_codec.encode(item) for item in self._known()]
+        return web.Response(body=b"".join(frames))
+
     async def _next_frame(self, queue: asyncio.Queue[bytes]) -> bytes:
         try:
             async with asyncio.timeout(ALIVE_INTERVAL_S):
--- a/tanagerspoke/transport/zone_news.py
+++ b/tanagerspoke/transport/zone_news.py
@@ -81,6 +81,7 @@
         self._server = news_server.NewsServer(
             listen=cfg.peers,
             snapshot=self._snapshot,
+            known=self._known,
             is_current=lambda: self._follower.is_current,
         )
 
@@ -138,12 +139,31 @@
         if not self._cfg.first_start:
             # Callers wait already; news of another node may still come.
             self._read_store("restart")
+            await self._ask_known_peers()
         try:
             async with asyncio.timeout(_FIRST_NODES_S):
                 await self._nodes_known.wait()
         except TimeoutError:
             log.warning("nodes_unknown")
 
+    async def _ask_known_peers(self) -> None:
+        """Takes the state of another node, unless the store answers before.
+
+        It may be old; the store's is newer as soon as it answers.
+        """
+        for answer in asyncio.as_completed(
+            [self._client.ask(peer) for peer in self._cfg.known_peers]
+        ):
+            try:
+                items = await answer
+            except news_client.NewsLostError as exc:
+                log.info("peer_not_asked", extra={"error": str(exc)})
+                continue
+            if self._table is None or self._listing.position < 0:
+                log.info("state_of_peer_taken", extra={"items": len(items)})
+                for item in items:
+                    self._take_news(item)
+
     def _read_store(self, reason: str) -> None:
         if not self._follower.is_reading:
             log.info("store_read_by_this_node", extra={"reason": reason})
@@ -175,6 +195,16 @@
         found.append(news.Alive(current=self._follower.is_current))
         return found
 
+    def _known(self) -> list[news.News]:
+        found: list[news.News] = []
+        if self._nodes:
+            found.append(news.NodesNews(nodes=self._nodes))
+        if self._table is not None:
+            found.append(news.RoutingNews(table=self._table))
+        if self._listing.position >= 0:
+            found.append(self._upstreams_news())
+        return found
+
     def _upstreams_news(self) -> news.UpstreamsNews:
         return news.UpstreamsNews(
             position=self._listing.position, entries=self._listing.entries
--- a/tests/transport/edge_stack.py
+++ b/tests/transport/edge_stack.py
@@ -141,6 +141,7 @@
     """What a test talks to."""
 
     store: metadata_store.MetadataStoreStandin
+    listen: options.Endpoint
     workers: tuple[Worker, ...]
     edges: tuple[edge_service.EdgeService, ...]
     cfgs: tuple[edge.Edge, ...]
@@ -167,6 +168,19 @@
             method, self.url(path, node=node), headers=headers, **options
         )
 
+    @contextlib.asynccontextmanager
+    async def add_node(self, **changes: Any) -> AsyncIterator["EdgeStack"]:
+        """Yields the stack of one more node, which is its only one."""
+        cfg = _cfg(self.store, self.listen, len(self.cfgs), **changes)
+        service = edge_service.EdgeService(
+            cfg=cfg, adapter=adapter.make(cfg), load=lambda: cfg
+        )
+        await service.start()
+        try:
+            yield dataclasses.replace(self, edges=(service,), cfgs=(cfg,))
+        finally:
+            await service.stop()
+
     async def is_ready(self, node: int = 0) -> bool:
         port = self.cfgs[node].readiness.port
         url = f"http://127.0.0.1:{port}/readiness"
@@ -181,9 +195,10 @@
     store: metadata_store.MetadataStoreStandin,
     listen: options.Endpoint,
     number: int,
+    **changes: Any,
 ) -> edge.Edge:
     del store
-    return edge.Edge(
+    fields = dict(
         node=f"n{number}",
         availability_zone="a",
         first_start=False,
@@ -201,6 +216,7 @@
         probes_per_upstream_s=60.0,
         metrics_port=stack.free_port(),
     )
+    return edge.Edge(**fields | changes)
 
 
 @contextlib.asynccontextmanager
@@ -237,6 +253,7 @@
             edges.append(service)
         yield EdgeStack(
             store=store,
+            listen=listen,
             workers=found,
             edges=tuple(edges),
             cfgs=cfgs,
--- a/tests/transport/test_edge_service.py
+++ b/tests/transport/test_edge_service.py
@@ -6,6 +6,7 @@
 import aiohttp
 import pytest
 
+from tanagerspoke.settings import options
 from tests import stack
 from tests.transport import edge_stack
 
@@ -162,6 +163,23 @@
         await edge_stack.wait_for(is_in_force)
 
 
+async def test_node_that_starts_in_an_outage_asks_a_peer() -> None:
+    """Guards against a restart that is useless until the store is back.
+
+    Seen in the incident hverasel-gw inc-1d41.
+    """
+    async with edge_stack.run() as found:
+        await found.wait_ready()
+        found.store.down = True
+        silent = options.Endpoint(address="127.0.0.1", port=stack.free_port())
+        async with found.add_node(
+            known_peers=(silent, found.cfgs[0].peers)
+        ) as started:
+            await started.wait_ready()
+            async with started.request("GET", "/read/x") as resp:
+                assert resp.status == 200
+
+
 async def test_lost_history_is_read_anew() -> None:
     """Guards against a node that stays on an old version after a 410."""
     async with edge_stack.run() as found:
