Give transport/ a folder for each side that it talks to

Cause: 44 modules stood side by side; a reader could not find the way of one request. Change: callers, upstreams, peers, store and operations; the three services stay above them. Tests mirror the folders.

--- a/tanagerspoke/commands/apply.py
+++ b/tanagerspoke/commands/apply.py
@@ -9,7 +9,7 @@
 from tanagerspoke.commands import nodes
 from tanagerspoke.commands import session
 from tanagerspoke.settings import options
-from tanagerspoke.transport import platform_client
+from tanagerspoke.transport.store import platform_client
 
 _POLL_INTERVAL_S = 0.25
 
--- a/tanagerspoke/commands/diff.py
+++ b/tanagerspoke/commands/diff.py
@@ -7,7 +7,7 @@
 from tanagerspoke.commands import program
 from tanagerspoke.commands import session
 from tanagerspoke.settings import options
-from tanagerspoke.transport import platform_client
+from tanagerspoke.transport.store import platform_client
 
 
 def diff(
--- a/tanagerspoke/commands/drain.py
+++ b/tanagerspoke/commands/drain.py
@@ -11,7 +11,7 @@
 from tanagerspoke.protocol import platform
 from tanagerspoke.settings import options
 from tanagerspoke.state import revisions
-from tanagerspoke.transport import platform_client
+from tanagerspoke.transport.store import platform_client
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
--- a/tanagerspoke/commands/program.py
+++ b/tanagerspoke/commands/program.py
@@ -14,7 +14,7 @@
 from tanagerspoke import exceptions
 from tanagerspoke.commands import changes
 from tanagerspoke.settings import options
-from tanagerspoke.transport import logs
+from tanagerspoke.transport.operations import logs
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/commands/session.py
+++ b/tanagerspoke/commands/session.py
@@ -11,7 +11,7 @@
 from tanagerspoke.commands import lock
 from tanagerspoke.commands import program
 from tanagerspoke.settings import options
-from tanagerspoke.transport import platform_client
+from tanagerspoke.transport.store import platform_client
 
 T = TypeVar("T")
 
--- a/tanagerspoke/commands/status.py
+++ b/tanagerspoke/commands/status.py
@@ -6,7 +6,7 @@
 from tanagerspoke.commands import session
 from tanagerspoke.settings import options
 from tanagerspoke.state import revisions
-from tanagerspoke.transport import platform_client
+from tanagerspoke.transport.store import platform_client
 
 
 def status(*, settings: pathlib.Path) -> None:
--- a/tanagerspoke/platform/headers.py
+++ b/tanagerspoke/platform/headers.py
@@ -9,9 +9,9 @@
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import headers
 from tanagerspoke.protocol import upstreams
-from tanagerspoke.transport import caller_calls
-from tanagerspoke.transport import caller_protocol
-from tanagerspoke.transport import upstream_dialect
+from tanagerspoke.transport.callers import caller_calls
+from tanagerspoke.transport.callers import caller_protocol
+from tanagerspoke.transport.upstreams import upstream_dialect
 
 REQUEST_ID = "X-Attempt-Id"
 DEADLINE_MS = "X-Deadline-Ms"
--- a/tanagerspoke/platform/store.py
+++ b/tanagerspoke/platform/store.py
@@ -13,7 +13,7 @@
 from tanagerspoke.protocol import news
 from tanagerspoke.protocol import routing
 from tanagerspoke.settings import options
-from tanagerspoke.transport import store_source
+from tanagerspoke.transport.store import store_source
 
 _NODES_TABLE = "edge_nodes"
 
--- a/tanagerspoke/transport/agent_service.py
+++ b/tanagerspoke/transport/agent_service.py
@@ -13,20 +13,20 @@
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.settings import options
 from tanagerspoke.state import revisions
-from tanagerspoke.transport import admin_server
-from tanagerspoke.transport import agent_metrics
-from tanagerspoke.transport import claim_service
-from tanagerspoke.transport import config_service
-from tanagerspoke.transport import control_meter
-from tanagerspoke.transport import gateway_feed
-from tanagerspoke.transport import grpc_agent
-from tanagerspoke.transport import grpc_peer
-from tanagerspoke.transport import host_service
-from tanagerspoke.transport import metered_platform
-from tanagerspoke.transport import peer_service
-from tanagerspoke.transport import platform_client
-from tanagerspoke.transport import probe_service
-from tanagerspoke.transport import status_service
+from tanagerspoke.transport.operations import admin_server
+from tanagerspoke.transport.operations import agent_metrics
+from tanagerspoke.transport.peers import gateway_feed
+from tanagerspoke.transport.peers import grpc_agent
+from tanagerspoke.transport.peers import grpc_peer
+from tanagerspoke.transport.peers import peer_service
+from tanagerspoke.transport.store import claim_service
+from tanagerspoke.transport.store import config_service
+from tanagerspoke.transport.store import control_meter
+from tanagerspoke.transport.store import host_service
+from tanagerspoke.transport.store import metered_platform
+from tanagerspoke.transport.store import platform_client
+from tanagerspoke.transport.store import probe_service
+from tanagerspoke.transport.store import status_service
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/tanagerspoke/transport/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of callers."""
--- a/tanagerspoke/transport/caller_calls.py
+++ b/tanagerspoke/transport/callers/caller_calls.py
@@ -12,9 +12,9 @@
 from tanagerspoke.protocol import headers
 from tanagerspoke.protocol import routing
 from tanagerspoke.state import config
-from tanagerspoke.transport import caller_headers
-from tanagerspoke.transport import caller_protocol
-from tanagerspoke.transport import upstream_client
+from tanagerspoke.transport.callers import caller_headers
+from tanagerspoke.transport.callers import caller_protocol
+from tanagerspoke.transport.upstreams import upstream_client
 
 # As long as aiohttp's own server keeps an unused connection.
 _IDLE_S = 3630.0
--- a/tanagerspoke/transport/caller_connection.py
+++ b/tanagerspoke/transport/callers/caller_connection.py
@@ -22,7 +22,7 @@
 
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import headers
-from tanagerspoke.transport import caller_protocol
+from tanagerspoke.transport.callers import caller_protocol
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/caller_server.py
+++ b/tanagerspoke/transport/callers/caller_server.py
@@ -15,13 +15,13 @@
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import headers
 from tanagerspoke.settings import options
-from tanagerspoke.transport import caller_calls
-from tanagerspoke.transport import caller_connection
-from tanagerspoke.transport import caller_headers
-from tanagerspoke.transport import caller_protocol
-from tanagerspoke.transport import dispatcher
-from tanagerspoke.transport import log_limit
-from tanagerspoke.transport import upstream_dialect
+from tanagerspoke.transport.callers import caller_calls
+from tanagerspoke.transport.callers import caller_connection
+from tanagerspoke.transport.callers import caller_headers
+from tanagerspoke.transport.callers import caller_protocol
+from tanagerspoke.transport.operations import log_limit
+from tanagerspoke.transport.upstreams import dispatcher
+from tanagerspoke.transport.upstreams import upstream_dialect
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -23,16 +23,16 @@
 from tanagerspoke.settings import edge
 from tanagerspoke.settings import options
 from tanagerspoke.state import routes
-from tanagerspoke.transport import admin_server
-from tanagerspoke.transport import caller_calls
-from tanagerspoke.transport import caller_server
-from tanagerspoke.transport import dispatcher
-from tanagerspoke.transport import edge_metrics
-from tanagerspoke.transport import planned_stop
-from tanagerspoke.transport import store_source
-from tanagerspoke.transport import upstream_client
-from tanagerspoke.transport import upstream_dialect
-from tanagerspoke.transport import zone_news
+from tanagerspoke.transport.callers import caller_calls
+from tanagerspoke.transport.callers import caller_server
+from tanagerspoke.transport.operations import admin_server
+from tanagerspoke.transport.operations import edge_metrics
+from tanagerspoke.transport.operations import planned_stop
+from tanagerspoke.transport.peers import zone_news
+from tanagerspoke.transport.store import store_source
+from tanagerspoke.transport.upstreams import dispatcher
+from tanagerspoke.transport.upstreams import upstream_client
+from tanagerspoke.transport.upstreams import upstream_dialect
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/gateway_service.py
+++ b/tanagerspoke/transport/gateway_service.py
@@ -24,17 +24,17 @@
 from tanagerspoke.settings import options
 from tanagerspoke.state import config
 from tanagerspoke.state import declarations
-from tanagerspoke.transport import admin_server
-from tanagerspoke.transport import agent_link
-from tanagerspoke.transport import caller_calls
-from tanagerspoke.transport import caller_server
-from tanagerspoke.transport import dispatcher
-from tanagerspoke.transport import grpc_agent
 from tanagerspoke.transport import keyed_writes
-from tanagerspoke.transport import metrics
-from tanagerspoke.transport import planned_stop
-from tanagerspoke.transport import upstream_client
-from tanagerspoke.transport import upstream_dialect
+from tanagerspoke.transport.callers import caller_calls
+from tanagerspoke.transport.callers import caller_server
+from tanagerspoke.transport.operations import admin_server
+from tanagerspoke.transport.operations import metrics
+from tanagerspoke.transport.operations import planned_stop
+from tanagerspoke.transport.peers import agent_link
+from tanagerspoke.transport.peers import grpc_agent
+from tanagerspoke.transport.upstreams import dispatcher
+from tanagerspoke.transport.upstreams import upstream_client
+from tanagerspoke.transport.upstreams import upstream_dialect
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/keyed_writes.py
+++ b/tanagerspoke/transport/keyed_writes.py
@@ -16,9 +16,9 @@
 from tanagerspoke.protocol import errors
 from tanagerspoke.state import config
 from tanagerspoke.state import declarations
-from tanagerspoke.transport import caller_calls
-from tanagerspoke.transport import dispatcher
-from tanagerspoke.transport import upstream_client
+from tanagerspoke.transport.callers import caller_calls
+from tanagerspoke.transport.upstreams import dispatcher
+from tanagerspoke.transport.upstreams import upstream_client
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/tanagerspoke/transport/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, logs and the planned stop."""
--- a/tanagerspoke/transport/edge_metrics.py
+++ b/tanagerspoke/transport/operations/edge_metrics.py
@@ -9,10 +9,10 @@
 import prometheus_client
 
 from tanagerspoke.protocol import calls
-from tanagerspoke.transport import caller_calls
-from tanagerspoke.transport import duration_histogram
-from tanagerspoke.transport import log_limit
-from tanagerspoke.transport import upstream_client
+from tanagerspoke.transport.callers import caller_calls
+from tanagerspoke.transport.operations import duration_histogram
+from tanagerspoke.transport.operations import log_limit
+from tanagerspoke.transport.upstreams import upstream_client
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/metrics.py
+++ b/tanagerspoke/transport/operations/metrics.py
@@ -11,9 +11,9 @@
 from tanagerspoke.coordination import replies
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
-from tanagerspoke.transport import caller_calls
-from tanagerspoke.transport import duration_histogram
-from tanagerspoke.transport import log_limit
+from tanagerspoke.transport.callers import caller_calls
+from tanagerspoke.transport.operations import duration_histogram
+from tanagerspoke.transport.operations import log_limit
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/tanagerspoke/transport/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Talk between the nodes and programs of the system."""
--- a/tanagerspoke/transport/agent_link.py
+++ b/tanagerspoke/transport/peers/agent_link.py
@@ -8,7 +8,7 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.protocol import agent
-from tanagerspoke.transport import grpc_agent
+from tanagerspoke.transport.peers import grpc_agent
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/grpc_agent.py
+++ b/tanagerspoke/transport/peers/grpc_agent.py
@@ -10,8 +10,8 @@
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import codec
 from tanagerspoke.settings import options
-from tanagerspoke.transport import grpc_security
-from tanagerspoke.transport import grpc_server
+from tanagerspoke.transport.peers import grpc_security
+from tanagerspoke.transport.peers import grpc_server
 
 _subscribe_decoder = codec.Decoder(message_type=agent.SubscribeRequest)
 _update_decoder = codec.Decoder(message_type=agent.GatewayUpdate)
--- a/tanagerspoke/transport/grpc_peer.py
+++ b/tanagerspoke/transport/peers/grpc_peer.py
@@ -10,8 +10,8 @@
 from tanagerspoke.protocol import codec
 from tanagerspoke.protocol import peer
 from tanagerspoke.settings import options
-from tanagerspoke.transport import grpc_security
-from tanagerspoke.transport import grpc_server
+from tanagerspoke.transport.peers import grpc_security
+from tanagerspoke.transport.peers import grpc_server
 
 _heartbeat_decoder = codec.Decoder(message_type=peer.Heartbeat)
 _request_decoder = codec.Decoder(message_type=peer.SnapshotRequest)
--- a/tanagerspoke/transport/grpc_server.py
+++ b/tanagerspoke/transport/peers/grpc_server.py
@@ -6,7 +6,7 @@
 import grpc.aio
 
 from tanagerspoke.settings import options
-from tanagerspoke.transport import grpc_security
+from tanagerspoke.transport.peers import grpc_security
 
 # Time for running calls when the port closes.
 _GRACE_S = 0.5
--- a/tanagerspoke/transport/news_client.py
+++ b/tanagerspoke/transport/peers/news_client.py
@@ -9,8 +9,8 @@
 from tanagerspoke import exceptions
 from tanagerspoke.protocol import news
 from tanagerspoke.settings import options
-from tanagerspoke.transport import news_codec
-from tanagerspoke.transport import news_server
+from tanagerspoke.transport.peers import news_codec
+from tanagerspoke.transport.peers import news_server
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/news_server.py
+++ b/tanagerspoke/transport/peers/news_server.py
@@ -8,7 +8,7 @@
 
 from tanagerspoke.protocol import news
 from tanagerspoke.settings import options
-from tanagerspoke.transport import news_codec
+from tanagerspoke.transport.peers import news_codec
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/peer_service.py
+++ b/tanagerspoke/transport/peers/peer_service.py
@@ -16,9 +16,9 @@
 from tanagerspoke.protocol import platform
 from tanagerspoke.protocol import randomness
 from tanagerspoke.settings import options
-from tanagerspoke.transport import agent_metrics
-from tanagerspoke.transport import control_meter
-from tanagerspoke.transport import grpc_peer
+from tanagerspoke.transport.operations import agent_metrics
+from tanagerspoke.transport.peers import grpc_peer
+from tanagerspoke.transport.store import control_meter
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/zone_news.py
+++ b/tanagerspoke/transport/peers/zone_news.py
@@ -13,10 +13,10 @@
 from tanagerspoke.protocol import routing
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.settings import edge
-from tanagerspoke.transport import news_client
-from tanagerspoke.transport import news_server
-from tanagerspoke.transport import store_follower
-from tanagerspoke.transport import store_source
+from tanagerspoke.transport.peers import news_client
+from tanagerspoke.transport.peers import news_server
+from tanagerspoke.transport.store import store_follower
+from tanagerspoke.transport.store import store_source
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/tanagerspoke/transport/store/__init__.py
@@ -0,0 +1,1 @@
+"""What goes to the platform's store, and what comes from it."""
--- a/tanagerspoke/transport/claim_service.py
+++ b/tanagerspoke/transport/store/claim_service.py
@@ -19,7 +19,7 @@
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import platform
 from tanagerspoke.settings import options
-from tanagerspoke.transport import platform_client
+from tanagerspoke.transport.store import platform_client
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/config_service.py
+++ b/tanagerspoke/transport/store/config_service.py
@@ -17,9 +17,9 @@
 from tanagerspoke.protocol import platform
 from tanagerspoke.protocol import randomness
 from tanagerspoke.state import revisions
-from tanagerspoke.transport import control_meter
-from tanagerspoke.transport import grpc_peer
-from tanagerspoke.transport import metered_platform
+from tanagerspoke.transport.peers import grpc_peer
+from tanagerspoke.transport.store import control_meter
+from tanagerspoke.transport.store import metered_platform
 
 T = TypeVar("T")
 
--- a/tanagerspoke/transport/control_meter.py
+++ b/tanagerspoke/transport/store/control_meter.py
@@ -10,7 +10,7 @@
 
 from tanagerspoke.coordination import budget
 from tanagerspoke.settings import options
-from tanagerspoke.transport import agent_metrics
+from tanagerspoke.transport.operations import agent_metrics
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/host_service.py
+++ b/tanagerspoke/transport/store/host_service.py
@@ -11,7 +11,7 @@
 from tanagerspoke.protocol import platform
 from tanagerspoke.protocol import randomness
 from tanagerspoke.state import revisions
-from tanagerspoke.transport import metered_platform
+from tanagerspoke.transport.store import metered_platform
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/metered_platform.py
+++ b/tanagerspoke/transport/store/metered_platform.py
@@ -8,9 +8,9 @@
 from tanagerspoke import exceptions
 from tanagerspoke.coordination import budget
 from tanagerspoke.protocol import platform
-from tanagerspoke.transport import agent_metrics
-from tanagerspoke.transport import control_meter
-from tanagerspoke.transport import platform_client
+from tanagerspoke.transport.operations import agent_metrics
+from tanagerspoke.transport.store import control_meter
+from tanagerspoke.transport.store import platform_client
 
 T = TypeVar("T")
 
--- a/tanagerspoke/transport/probe_service.py
+++ b/tanagerspoke/transport/store/probe_service.py
@@ -14,7 +14,7 @@
 from tanagerspoke.protocol import headers
 from tanagerspoke.protocol import randomness
 from tanagerspoke.protocol import upstreams
-from tanagerspoke.transport import control_meter
+from tanagerspoke.transport.store import control_meter
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/store_follower.py
+++ b/tanagerspoke/transport/store/store_follower.py
@@ -14,8 +14,8 @@
 from tanagerspoke.protocol import news
 from tanagerspoke.protocol import routing
 from tanagerspoke.settings import edge
-from tanagerspoke.transport import log_limit
-from tanagerspoke.transport import store_source
+from tanagerspoke.transport.operations import log_limit
+from tanagerspoke.transport.store import store_source
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/tanagerspoke/transport/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to upstreams."""
--- a/tanagerspoke/transport/dispatcher.py
+++ b/tanagerspoke/transport/upstreams/dispatcher.py
@@ -11,8 +11,8 @@
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import upstreams
-from tanagerspoke.transport import upstream_client
-from tanagerspoke.transport import upstream_dialect
+from tanagerspoke.transport.upstreams import upstream_client
+from tanagerspoke.transport.upstreams import upstream_dialect
 
 # A load report that took longer says nothing of the load of this moment.
 _PROBE_TIMEOUT_S = 0.1
--- a/tanagerspoke/transport/upstream_client.py
+++ b/tanagerspoke/transport/upstreams/upstream_client.py
@@ -17,10 +17,10 @@
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import headers
 from tanagerspoke.protocol import upstreams
-from tanagerspoke.transport import answer_stream
-from tanagerspoke.transport import log_limit
-from tanagerspoke.transport import upstream_connection
-from tanagerspoke.transport import upstream_dialect
+from tanagerspoke.transport.operations import log_limit
+from tanagerspoke.transport.upstreams import answer_stream
+from tanagerspoke.transport.upstreams import upstream_connection
+from tanagerspoke.transport.upstreams import upstream_dialect
 
 log = logging.getLogger(__name__)
 
--- a/tanagerspoke/transport/upstream_connection.py
+++ b/tanagerspoke/transport/upstreams/upstream_connection.py
@@ -6,8 +6,8 @@
 from aiohttp import http
 
 from tanagerspoke import exceptions
-from tanagerspoke.transport import response_reader
-from tanagerspoke.transport import upstream_dialect
+from tanagerspoke.transport.upstreams import response_reader
+from tanagerspoke.transport.upstreams import upstream_dialect
 
 
 class Receiver(Protocol):
--- a/tests/commands/test_report.py
+++ b/tests/commands/test_report.py
@@ -14,7 +14,7 @@
 from tanagerspoke.commands import report
 from tanagerspoke.commands import scrapes
 from tanagerspoke.settings import options
-from tanagerspoke.transport import admin_server
+from tanagerspoke.transport.operations import admin_server
 from tests import stack as stacks
 
 _LABELS = ("client_account", "service", "call_class")
--- a/tests/processes/test_draining.py
+++ b/tests/processes/test_draining.py
@@ -12,7 +12,7 @@
 
 from tanagerspoke.protocol import agent
 from tanagerspoke.settings import options
-from tanagerspoke.transport import grpc_agent
+from tanagerspoke.transport.peers import grpc_agent
 from tests import stack as stacks
 
 log = logging.getLogger(__name__)
--- a/tests/processes/test_membership.py
+++ b/tests/processes/test_membership.py
@@ -18,8 +18,8 @@
 from tanagerspoke.protocol import agent
 from tanagerspoke.protocol import peer
 from tanagerspoke.settings import options
-from tanagerspoke.transport import grpc_agent
-from tanagerspoke.transport import grpc_security
+from tanagerspoke.transport.peers import grpc_agent
+from tanagerspoke.transport.peers import grpc_security
 from tests import stack as stacks
 
 _HOSTS = tuple(f"entry-{n}" for n in range(1, 4))
--- a/tests/test_house_style.py
+++ b/tests/test_house_style.py
@@ -32,10 +32,10 @@
     "tanagerspoke/coordination/scheduling.py:_CallState": (
         "a call on its way, which its scheduler alone owns and changes"
     ),
-    "tanagerspoke/transport/caller_calls.py:CallRecord": (
+    "tanagerspoke/transport/callers/caller_calls.py:CallRecord": (
         "filled in by the one task that serves the call"
     ),
-    "tanagerspoke/transport/dispatcher.py:_Running": (
+    "tanagerspoke/transport/upstreams/dispatcher.py:_Running": (
         "attempts of one call, which its dispatcher alone owns and changes"
     ),
 }
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -9,9 +9,9 @@
 
 from tanagerspoke.settings import edge
 from tanagerspoke.settings import options
-from tanagerspoke.transport import agent_metrics
-from tanagerspoke.transport import edge_metrics
-from tanagerspoke.transport import metrics
+from tanagerspoke.transport.operations import agent_metrics
+from tanagerspoke.transport.operations import edge_metrics
+from tanagerspoke.transport.operations import metrics
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _PAGE = (_ROOT / "docs" / "OPERATIONS.md").read_text()
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/callers/test_caller_connection.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tanagerspoke.transport import caller_connection
+from tanagerspoke.transport.callers import caller_connection
 
 
 class Calls:
--- a/tests/transport/test_log_limit.py
+++ b/tests/transport/operations/test_log_limit.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from tanagerspoke.transport import log_limit
+from tanagerspoke.transport.operations import log_limit
 from tests import stack as stacks
 
 
--- a/tests/transport/test_logs.py
+++ b/tests/transport/operations/test_logs.py
@@ -4,7 +4,7 @@
 import logging
 import os
 
-from tanagerspoke.transport import logs
+from tanagerspoke.transport.operations import logs
 
 
 def _drain(descriptor: int) -> bytes:
--- a/tests/transport/test_claim_service.py
+++ b/tests/transport/store/test_claim_service.py
@@ -9,8 +9,8 @@
 from tanagerspoke.protocol import agent
 from tanagerspoke.settings import options
 from tanagerspoke.standins import table as standin
-from tanagerspoke.transport import agent_metrics
-from tanagerspoke.transport import claim_service
+from tanagerspoke.transport.operations import agent_metrics
+from tanagerspoke.transport.store import claim_service
 
 
 class FakePlatform:
--- a/tests/transport/test_keyed_writes.py
+++ b/tests/transport/test_keyed_writes.py
@@ -12,10 +12,10 @@
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.state import declarations
-from tanagerspoke.transport import caller_calls
-from tanagerspoke.transport import dispatcher
 from tanagerspoke.transport import keyed_writes
-from tanagerspoke.transport import upstream_client
+from tanagerspoke.transport.callers import caller_calls
+from tanagerspoke.transport.upstreams import dispatcher
+from tanagerspoke.transport.upstreams import upstream_client
 
 _ANSWER = caller_calls.CallerAnswer(
     answer=upstream_client.Answer(status=200, headers=(), body=b"booked"),
--- a/tests/transport/test_response_reader.py
+++ b/tests/transport/upstreams/test_response_reader.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tanagerspoke import exceptions
-from tanagerspoke.transport import response_reader
+from tanagerspoke.transport.upstreams import response_reader
 
 # (method, response, body); each is one whole response.
 WHOLE = (
--- a/tests/transport/test_upstream_client.py
+++ b/tests/transport/upstreams/test_upstream_client.py
@@ -10,8 +10,8 @@
 
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import upstreams
-from tanagerspoke.transport import upstream_client
-from tanagerspoke.transport import upstream_dialect
+from tanagerspoke.transport.upstreams import upstream_client
+from tanagerspoke.transport.upstreams import upstream_dialect
 from tests import stack as stacks
 
 Script = Callable[
