Share the ends of calls between the schedulers

Cause: duplicates: settling a call, the start of a streamed answer and the code of an unknown outcome stood in both. Change: call_attempts has one of each.

--- a/tanagerspoke/coordination/call_attempts.py
+++ b/tanagerspoke/coordination/call_attempts.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from tanagerspoke.protocol import calls
+from tanagerspoke.protocol import errors
 from tanagerspoke.state import loads
 
 
@@ -16,7 +17,15 @@
 
 
 class CallState(Protocol):
-    """A call with its attempts by number."""
+    """A call with its attempts by number.
+
+    Attributes:
+        done: whether its caller has an answer, or left.
+        started: attempt whose answer is streamed to the caller.
+    """
+
+    done: bool
+    started: int | None
 
     @property
     def call(self) -> calls.Call:
@@ -40,3 +49,34 @@
         for number, attempt in state.attempts.items()
         if number != kept
     ]
+
+
+def settle(state: CallState, attempt: int) -> list[calls.SchedulerAction]:
+    """Ends a call with the answer of an attempt; cancels the others."""
+    state.done = True
+    return [
+        calls.Settle(call_id=state.call.call_id, attempt=attempt),
+        *cancel_others(state, kept=attempt),
+    ]
+
+
+def start_answer(
+    state: CallState | None, attempt: int
+) -> list[calls.SchedulerAction]:
+    """Streams the answer of an attempt, unless another one was first."""
+    if state is None or state.done or attempt not in state.attempts:
+        return []
+    if state.started is not None:
+        return []
+    state.started = attempt
+    return cancel_others(state, kept=attempt)
+
+
+def unknown_outcome(result: calls.AttemptResult) -> errors.ErrorCode:
+    """Returns the code of an attempt that may have run."""
+    match result:
+        case calls.TimedOut():
+            return errors.ErrorCode.UPSTREAM_TIMEOUT
+        case calls.Crossed():
+            return errors.ErrorCode.CROSSED_REPLY
+    return errors.ErrorCode.UPSTREAM_BROKEN
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -175,7 +175,8 @@
             case calls.AttemptEnded():
                 self._end(event, now, actions)
             case calls.AnswerStarted():
-                self._start_answer(event, actions)
+                state = self._calls.get(event.call_id)
+                actions += call_attempts.start_answer(state, event.attempt)
             case calls.CallerLeft(call_id=call_id):
                 self._leave(call_id, actions)
             case calls.UpstreamsChanged(upstreams=changed):
@@ -405,11 +406,7 @@
         attempt: int,
         actions: list[calls.SchedulerAction],
     ) -> None:
-        state.done = True
-        actions.append(
-            calls.Settle(call_id=state.call.call_id, attempt=attempt)
-        )
-        actions.extend(call_attempts.cancel_others(state, kept=attempt))
+        actions += call_attempts.settle(state, attempt)
         self._forget(state)
 
     def _note_failure(
@@ -425,12 +422,8 @@
                 state.not_run = errors.ErrorCode.UPSTREAM_SHED
             case calls.WrongUpstream():
                 state.not_run = errors.ErrorCode.UPSTREAM_UNREACHABLE
-            case calls.TimedOut():
-                state.unknown = errors.ErrorCode.UPSTREAM_TIMEOUT
-            case calls.Crossed():
-                state.unknown = errors.ErrorCode.CROSSED_REPLY
             case _:
-                state.unknown = errors.ErrorCode.UPSTREAM_BROKEN
+                state.unknown = call_attempts.unknown_outcome(result)
 
     def _retry(
         self,
@@ -471,20 +464,6 @@
         if not state.attempts:
             self._calls.pop(state.call.call_id, None)
 
-    def _start_answer(
-        self,
-        event: calls.AnswerStarted,
-        actions: list[calls.SchedulerAction],
-    ) -> None:
-        state = self._calls.get(event.call_id)
-        if state is None or state.done or event.attempt not in state.attempts:
-            return
-        if state.started is None:
-            state.started = event.attempt
-            actions.extend(
-                call_attempts.cancel_others(state, kept=event.attempt)
-            )
-
     def _leave(
         self, call_id: int, actions: list[calls.SchedulerAction]
     ) -> None:
--- a/tanagerspoke/coordination/scheduling.py
+++ b/tanagerspoke/coordination/scheduling.py
@@ -191,7 +191,8 @@
             case calls.AttemptEnded():
                 self._end(event, now, actions)
             case calls.AnswerStarted():
-                self._start_answer(event, actions)
+                state = self._calls.get(event.call_id)
+                actions += call_attempts.start_answer(state, event.attempt)
             case calls.CallerLeft(call_id=call_id):
                 self._leave(call_id, actions)
             case calls.UpstreamsChanged(upstreams=changed):
@@ -352,14 +353,8 @@
         attempt: int,
         actions: list[calls.SchedulerAction],
     ) -> None:
-        state.done = True
-        actions.append(
-            calls.Settle(call_id=state.call.call_id, attempt=attempt)
-        )
-        if state.attempts:
-            actions.extend(call_attempts.cancel_others(state, kept=attempt))
-        else:
-            del self._calls[state.call.call_id]
+        actions += call_attempts.settle(state, attempt)
+        self._forget(state)
 
     def _note_failure(
         self, state: _CallState, attempt: int, result: calls.AttemptResult
@@ -372,12 +367,8 @@
             case calls.Shed(retry_after_s=retry_after_s):
                 state.not_run = errors.ErrorCode.UPSTREAM_SHED
                 state.retry_after_s = retry_after_s
-            case calls.TimedOut():
-                state.unknown = errors.ErrorCode.UPSTREAM_TIMEOUT
-            case calls.Crossed():
-                state.unknown = errors.ErrorCode.CROSSED_REPLY
             case _:
-                state.unknown = errors.ErrorCode.UPSTREAM_BROKEN
+                state.unknown = call_attempts.unknown_outcome(result)
 
     def _retry(
         self,
@@ -425,20 +416,6 @@
         if not state.attempts:
             self._calls.pop(state.call.call_id, None)
 
-    def _start_answer(
-        self,
-        event: calls.AnswerStarted,
-        actions: list[calls.SchedulerAction],
-    ) -> None:
-        state = self._calls.get(event.call_id)
-        if state is None or state.done or event.attempt not in state.attempts:
-            return
-        if state.started is None:
-            state.started = event.attempt
-            actions.extend(
-                call_attempts.cancel_others(state, kept=event.attempt)
-            )
-
     def _leave(
         self, call_id: int, actions: list[calls.SchedulerAction]
     ) -> None:
