--- a/tanagerspoke/standins/metadata_store.py
+++ b/tanagerspoke/standins/metadata_store.py
@@ -138,6 +138,7 @@
                 await asyncio.Event().wait()
             if self.faults.resets and req.transport is not None:
                 req.transport.abort()
+                return web.Response()
             await asyncio.sleep(self.faults.delay_ms / 1000)
             if self.faults.down:
                 return answers.refuse(_UNAVAILABLE_STATUS, "down")
