Share faults between the soaks, and the start of stand-ins

Cause: duplicates: kills, freezes and stand-in faults stood in both plans, and four commands started alike. Change: the edge's plan uses the gateway's classes; standin.py has one start.

--- a/bench/edge_soak_faults.py
+++ b/bench/edge_soak_faults.py
@@ -32,20 +32,6 @@
 _LINK_DELAY_S = 0.2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Kill:
-    """SIGKILL, and a new start when the fault ends."""
-
-    program: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Freeze:
-    """SIGSTOP, and SIGCONT when the fault ends."""
-
-    program: str
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Restart:
     """SIGTERM, and a new start when the process has ended."""
@@ -60,14 +46,6 @@
     program: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class StandinFault:
-    """Faults of the store or of a worker."""
-
-    name: str
-    faults: Mapping[str, Any]
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Compaction:
     """The store forgets its history."""
@@ -82,7 +60,13 @@
 
 
 Fault: TypeAlias = (
-    Kill | Freeze | Restart | Reload | StandinFault | Compaction | LinkFault
+    soak_faults.Kill
+    | soak_faults.Freeze
+    | soak_faults.StandinFault
+    | Restart
+    | Reload
+    | Compaction
+    | LinkFault
 )
 
 
@@ -127,17 +111,19 @@
     programs = targets.edges + targets.workers
     match rng.randrange(8):
         case 0:
-            return Kill(program=rng.choice(programs))
+            return soak_faults.Kill(program=rng.choice(programs))
         case 1:
-            return Freeze(program=rng.choice(programs))
+            return soak_faults.Freeze(program=rng.choice(programs))
         case 2:
             return _draw_planned(rng, targets)
         case 3:
             return Compaction()
         case 4:
-            return StandinFault(name="store", faults=rng.choice(_STORE_FAULTS))
+            return soak_faults.StandinFault(
+                name="store", faults=rng.choice(_STORE_FAULTS)
+            )
         case 5:
-            return StandinFault(
+            return soak_faults.StandinFault(
                 name=rng.choice(targets.workers),
                 faults=rng.choice(_WORKER_FAULTS),
             )
@@ -163,9 +149,11 @@
     def target(self, fault: Fault) -> str:
         """Implements `LaneRunner`."""
         match fault:
-            case Kill() | Freeze() | Restart() | Reload():
+            case (
+                soak_faults.Kill() | soak_faults.Freeze() | Restart() | Reload()
+            ):
                 return fault.program
-            case StandinFault(name=name):
+            case soak_faults.StandinFault(name=name):
                 return name
             case LinkFault(link=link):
                 return link
@@ -174,15 +162,15 @@
     async def set(self, fault: Fault) -> None:
         """Implements `LaneRunner`."""
         match fault:
-            case Kill(program=program):
+            case soak_faults.Kill(program=program):
                 self._fleet.kill(program)
-            case Freeze(program=program):
+            case soak_faults.Freeze(program=program):
                 self._fleet[program].freeze()
             case Restart(program=program):
                 self._fleet[program].send(signal.SIGTERM)
             case Reload(program=program):
                 self._fleet[program].send(signal.SIGHUP)
-            case StandinFault(name=name, faults=faults):
+            case soak_faults.StandinFault(name=name, faults=faults):
                 await self._fleet.faults(name, **faults)
             case Compaction():
                 await self._fleet.compact()
@@ -192,14 +180,14 @@
     async def end(self, fault: Fault) -> None:
         """Implements `LaneRunner`."""
         match fault:
-            case Kill(program=program):
+            case soak_faults.Kill(program=program):
                 self._fleet.start_again(program)
-            case Freeze(program=program):
+            case soak_faults.Freeze(program=program):
                 self._fleet[program].resume()
             case Restart(program=program):
                 await asyncio.to_thread(self._fleet[program].wait)
                 self._fleet.start_again(program)
-            case StandinFault(name=name):
+            case soak_faults.StandinFault(name=name):
                 await self._fleet.faults(name)
             case LinkFault(link=link):
                 self._links[link].restore()
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -1,4 +1,4 @@
-"""Random faults of the soak test, planned from a seed."""
+"""Random faults of the soak tests, planned from a seed."""
 
 import asyncio
 from collections.abc import Callable, Mapping
@@ -56,7 +56,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StandinFault:
-    """Faults of the platform or of an upstream."""
+    """Faults of a stand-in: the platform, its store, or an upstream."""
 
     name: str
     faults: Mapping[str, Any]
--- a/tanagerspoke/commands/standin.py
+++ b/tanagerspoke/commands/standin.py
@@ -1,6 +1,8 @@
 """The program `tanagerspoke-standin`."""
 
+from collections.abc import Callable
 import pathlib
+from typing import TypeVar
 
 import cyclopts
 
@@ -15,6 +17,14 @@
 
 _NAME = "tanagerspoke-standin"
 
+T = TypeVar(
+    "T",
+    options.StandinPlatform,
+    options.StandinUpstream,
+    edge_standins.StandinStore,
+    edge_standins.StandinWorker,
+)
+
 app = cyclopts.App(name=_NAME, version=tanagerspoke.__version__)
 
 
@@ -25,13 +35,10 @@
     Args:
         settings: JSON settings file.
     """
-    cfg = program.load_settings(
-        path=settings, option_type=options.StandinPlatform
-    )
-    program.serve(
-        name=_NAME,
-        log_level=cfg.log_level,
-        service=lambda: platform_standin.PlatformStandin(cfg=cfg),
+    _serve(
+        settings,
+        options.StandinPlatform,
+        lambda cfg: platform_standin.PlatformStandin(cfg=cfg),
     )
 
 
@@ -42,13 +49,10 @@
     Args:
         settings: JSON settings file.
     """
-    cfg = program.load_settings(
-        path=settings, option_type=options.StandinUpstream
-    )
-    program.serve(
-        name=_NAME,
-        log_level=cfg.log_level,
-        service=lambda: upstream_standin.UpstreamStandin(cfg=cfg),
+    _serve(
+        settings,
+        options.StandinUpstream,
+        lambda cfg: upstream_standin.UpstreamStandin(cfg=cfg),
     )
 
 
@@ -59,13 +63,10 @@
     Args:
         settings: JSON settings file.
     """
-    cfg = program.load_settings(
-        path=settings, option_type=edge_standins.StandinStore
-    )
-    program.serve(
-        name=_NAME,
-        log_level=cfg.log_level,
-        service=lambda: metadata_store.MetadataStoreStandin(
+    _serve(
+        settings,
+        edge_standins.StandinStore,
+        lambda cfg: metadata_store.MetadataStoreStandin(
             listen=cfg.listen, lapse_s=cfg.lapse_s
         ),
     )
@@ -78,13 +79,21 @@
     Args:
         settings: JSON settings file.
     """
-    cfg = program.load_settings(
-        path=settings, option_type=edge_standins.StandinWorker
+    _serve(
+        settings,
+        edge_standins.StandinWorker,
+        lambda cfg: routed_worker.RoutedWorkerStandin(cfg=cfg),
     )
+
+
+def _serve(
+    settings: pathlib.Path,
+    option_type: type[T],
+    make: Callable[[T], program.Running],
+) -> None:
+    cfg = program.load_settings(path=settings, option_type=option_type)
     program.serve(
-        name=_NAME,
-        log_level=cfg.log_level,
-        service=lambda: routed_worker.RoutedWorkerStandin(cfg=cfg),
+        name=_NAME, log_level=cfg.log_level, service=lambda: make(cfg)
     )
 
 
