Kill the claimant while its claim is held, not after 0.3 s

Ruled out: the order of the keys (a claim of any key was not there either); counting claim transactions as the trigger (records of the writes before come late and count as well). Change: the stand-in shows the rows that its delay holds back; the test kills once a claim of its own keys is among them, and asks that one of them commits while the victim is dead. The promise and its bound are the same.

--- a/tanagerspoke/standins/platform.py
+++ b/tanagerspoke/standins/platform.py
@@ -17,6 +17,7 @@
 
 _STORE_RETRY_AFTER_S = "1"
 _MAX_KEY_BYTES = 1024
+_TRANSACT_PATH = "/table/transact"
 
 
 class PlatformStandin:
@@ -31,6 +32,8 @@
         self._table_limits = _Limits(cfg=cfg)
         self._object_limits = _Limits(cfg=cfg)
         self._counts: collections.Counter[str] = collections.Counter()
+        # Rows of transactions that the delay holds back.
+        self._held: collections.Counter[str] = collections.Counter()
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -52,7 +55,7 @@
             self._runner = None
 
     def _add_routes(self, router: web.UrlDispatcher) -> None:
-        router.add_post("/table/transact", self._on_table(self._transact))
+        router.add_post(_TRANSACT_PATH, self._on_table(self._transact))
         router.add_get("/table/row", self._on_table(self._row))
         router.add_get("/table/scan", self._on_table(self._scan))
         router.add_put("/objects/{key:.+}", self._put_object)
@@ -61,6 +64,7 @@
         router.add_get("/control/faults", self._get_faults)
         router.add_put("/control/faults", self._put_faults)
         router.add_get("/control/counts", self._get_counts)
+        router.add_get("/control/held", self._get_held)
         router.add_get("/control/hosts", self._get_current_hosts)
         router.add_put("/control/hosts", self._put_hosts)
         router.add_put("/control/hosts/{name}", self._put_host)
@@ -76,11 +80,26 @@
                 return self._refuse_down("table")
             # aiohttp drops the body of a request whose client has left.
             await req.read()
-            await asyncio.sleep(self._faults.table_delay_ms / 1000)
+            if req.path == _TRANSACT_PATH:
+                await self._hold(req)
+            else:
+                await asyncio.sleep(self._faults.table_delay_ms / 1000)
             return await handler(req)
 
         return handle
 
+    async def _hold(self, req: web.Request) -> None:
+        """Delays a transaction; its rows are shown as held meanwhile."""
+        transaction = await answers.decode(req, platform.Transaction)
+        keys = [operation.key for operation in transaction.operations]
+        self._held.update(keys)
+        await asyncio.sleep(self._faults.table_delay_ms / 1000)
+        self._held.subtract(keys)
+
+    async def _get_held(self, req: web.Request) -> web.Response:
+        del req
+        return answers.encode(sorted(+self._held))
+
     async def _transact(self, req: web.Request) -> web.Response:
         transaction = await answers.decode(req, platform.Transaction)
         self._check(transaction)
