Keep open calls and their attempts once for both schedulers

Ruled out: one scheduler for both: own callers have classes and pull shares, routes have targets, late calls and probes. Change: call_attempts.OpenCalls owns calls, attempts and hedge times. A reply that names another upstream counts as not run for own callers too, as it does for routes; the own dialect never yields it. No other change of behaviour.

--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -1,8 +1,6 @@
 """Scheduler of the calls of one service by route, target and deadline."""
 
-import dataclasses
 import functools
-import heapq
 import math
 
 from tanagerspoke.coordination import attempt_learning
@@ -58,34 +56,6 @@
 _MAX_RETRY_AFTER_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Attempt:
-    record: loads.UpstreamLoad
-    started_at: float
-    is_hedge: bool
-    full: bool
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _CallState:
-    """A call from its arrival until its last attempt ended."""
-
-    call: calls.Call
-    attempts: dict[int, _Attempt]
-    tried: tuple[str, ...] = ()
-    attempt_count: int = 0
-    # Attempts that reached an upstream, or may have.
-    sent: int = 0
-    hedge_tries: int = 0
-    done: bool = False
-    queued: bool = False
-    queued_at: float = 0.0
-    started: int | None = None
-    failed_answer: int | None = None
-    unknown: errors.ErrorCode | None = None
-    not_run: errors.ErrorCode | None = None
-
-
 class RouteScheduler:
     """Decides when and where each call of a service runs."""
 
@@ -123,19 +93,18 @@
         )
         self._learner = attempt_learning.AttemptLearner(view=self._view)
         self._queue = target_queue.TargetQueue()
-        self._calls: dict[int, _CallState] = {}
+        self._calls = call_attempts.OpenCalls()
         self._own = 0
-        self._hedges: list[tuple[float, int]] = []
         self._recheck_at: float | None = None
 
     @property
     def next_wakeup(self) -> float | None:
         """Time of the next `Tick` that is needed, or None."""
-        while self._hedges and not self._awaits_hedge(self._hedges[0][1]):
-            heapq.heappop(self._hedges)
-        due = [self._recheck_at, self._queue.next_expiry]
-        if self._hedges:
-            due.append(self._hedges[0][0])
+        due = (
+            self._recheck_at,
+            self._queue.next_expiry,
+            self._calls.next_hedge,
+        )
         return min((at for at in due if at is not None), default=None)
 
     @property
@@ -160,7 +129,9 @@
         limit = max(_MIN_QUEUE, _MAX_QUEUE_PER_SLOT * self._view.total_slots)
         if len(self._queue) >= limit:
             return _refuse(
-                call, errors.ErrorCode.QUEUE_FULL, self._expected_wait_s(call)
+                call,
+                errors.ErrorCode.QUEUE_FULL,
+                self._expected_wait_s(call),
             )
         return None
 
@@ -175,8 +146,7 @@
             case calls.AttemptEnded():
                 self._end(event, now, actions)
             case calls.AnswerStarted():
-                state = self._calls.get(event.call_id)
-                actions += call_attempts.start_answer(state, event.attempt)
+                actions += self._calls.start_answer(event)
             case calls.CallerLeft(call_id=call_id):
                 self._leave(call_id, actions)
             case calls.UpstreamsChanged(upstreams=changed):
@@ -201,11 +171,10 @@
         if refusal is not None:
             actions.append(refusal)
             return
-        state = _CallState(call=call, attempts={})
-        self._calls[call.call_id] = state
+        state = self._calls.add(call)
         self._enqueue(state, now)
 
-    def _enqueue(self, state: _CallState, now: float) -> None:
+    def _enqueue(self, state: call_attempts.CallState, now: float) -> None:
         call = state.call
         state.queued = True
         state.queued_at = now
@@ -261,7 +230,10 @@
         return self._choose(state, now, max_busy=_LATE_SHARE)
 
     def _waits_until(
-        self, state: _CallState, waiting: target_queue.Waiting, now: float
+        self,
+        state: call_attempts.CallState,
+        waiting: target_queue.Waiting,
+        now: float,
     ) -> float:
         if not self._probes.responsive(now):
             return state.queued_at + _NO_REPORT_PATIENCE_S
@@ -269,7 +241,7 @@
 
     def _choose(
         self,
-        state: _CallState,
+        state: call_attempts.CallState,
         now: float,
         *,
         need_free_slot: bool = False,
@@ -307,7 +279,7 @@
 
     def _dispatch(
         self,
-        state: _CallState,
+        state: call_attempts.CallState,
         record: loads.UpstreamLoad,
         now: float,
         actions: list[calls.SchedulerAction],
@@ -325,7 +297,7 @@
             mean_others=self._view.mean_others,
             trust=self._view.report_trust,
         )
-        state.attempts[attempt] = _Attempt(
+        state.attempts[attempt] = call_attempts.Attempt(
             record=record,
             started_at=now,
             is_hedge=is_hedge,
@@ -357,12 +329,10 @@
         now: float,
         actions: list[calls.SchedulerAction],
     ) -> None:
-        state = self._calls.get(event.call_id)
-        if state is None:
-            return
-        attempt = state.attempts.pop(event.attempt, None)
-        if attempt is None:
+        ended = self._calls.end_attempt(event)
+        if ended is None:
             return
+        state, attempt = ended
         record = attempt.record
         if event.load is not None:
             self._probes.note_report(now)
@@ -387,47 +357,22 @@
                 )
             )
         if state.done:
-            self._forget(state)
+            self._calls.forget(state)
             return
         result = event.result
         if isinstance(result, calls.Answered) and not result.failed:
-            self._settle(state, event.attempt, actions)
+            actions += self._calls.settle(state, event.attempt)
             return
-        self._note_failure(state, event.attempt, result)
+        call_attempts.note_failure(state, event.attempt, result)
         if state.attempts:
             return
         if state.started is None and self._retry(state, result, now):
             return
         self._finish(state, actions)
 
-    def _settle(
-        self,
-        state: _CallState,
-        attempt: int,
-        actions: list[calls.SchedulerAction],
-    ) -> None:
-        actions += call_attempts.settle(state, attempt)
-        self._forget(state)
-
-    def _note_failure(
-        self, state: _CallState, attempt: int, result: calls.AttemptResult
-    ) -> None:
-        match result:
-            case calls.Answered():
-                state.failed_answer = attempt
-            case calls.NotSent():
-                state.sent -= 1
-                state.not_run = errors.ErrorCode.UPSTREAM_UNREACHABLE
-            case calls.Shed():
-                state.not_run = errors.ErrorCode.UPSTREAM_SHED
-            case calls.WrongUpstream():
-                state.not_run = errors.ErrorCode.UPSTREAM_UNREACHABLE
-            case _:
-                state.unknown = call_attempts.unknown_outcome(result)
-
     def _retry(
         self,
-        state: _CallState,
+        state: call_attempts.CallState,
         result: calls.AttemptResult,
         now: float,
     ) -> bool:
@@ -443,26 +388,18 @@
         return True
 
     def _finish(
-        self, state: _CallState, actions: list[calls.SchedulerAction]
+        self,
+        state: call_attempts.CallState,
+        actions: list[calls.SchedulerAction],
     ) -> None:
         """Ends a call that has no attempt in flight and no good answer."""
-        state.done = True
-        call = state.call
-        if state.failed_answer is not None:
-            actions.append(
-                calls.Settle(call_id=call.call_id, attempt=state.failed_answer)
-            )
-        elif state.unknown is not None:
-            actions.append(calls.Fail(call_id=call.call_id, code=state.unknown))
-        else:
-            code = state.not_run or errors.ErrorCode.QUEUE_TIMEOUT
-            wait_s = self._expected_wait_s(call)
-            actions.append(_refuse(call, code, self._spread(wait_s)))
-        self._forget(state)
-
-    def _forget(self, state: _CallState) -> None:
-        if not state.attempts:
-            self._calls.pop(state.call.call_id, None)
+        ended = self._calls.fail(state)
+        if ended is not None:
+            actions.append(ended)
+            return
+        code = state.not_run or errors.ErrorCode.QUEUE_TIMEOUT
+        wait_s = self._expected_wait_s(state.call)
+        actions.append(_refuse(state.call, code, self._spread(wait_s)))
 
     def _leave(
         self, call_id: int, actions: list[calls.SchedulerAction]
@@ -475,15 +412,13 @@
             state.queued = False
             self._queue.remove(call_id)
         actions.extend(call_attempts.cancel_others(state, kept=None))
-        self._forget(state)
+        self._calls.forget(state)
 
     def _advance(
         self, now: float, actions: list[calls.SchedulerAction]
     ) -> None:
-        while self._hedges and self._hedges[0][0] <= now:
-            _, call_id = heapq.heappop(self._hedges)
-            if self._awaits_hedge(call_id):
-                self._hedge(self._calls[call_id], now, actions)
+        for state in self._calls.due_hedges(now):
+            self._hedge(state, now, actions)
         for waiting in self._queue.expired(now):
             state = self._calls[waiting.call.call_id]
             state.queued = False
@@ -505,7 +440,7 @@
             oldest = min(s.queued_at for s in self._queued_states())
             self._probe(now, oldest, actions)
 
-    def _queued_states(self) -> list[_CallState]:
+    def _queued_states(self) -> list[call_attempts.CallState]:
         return [self._calls[call_id] for call_id in self._queue.call_ids]
 
     def _probe(
@@ -532,27 +467,18 @@
             )
         )
 
-    def _arm_hedge(self, state: _CallState, now: float) -> None:
+    def _arm_hedge(self, state: call_attempts.CallState, now: float) -> None:
         call = state.call
         at = now + self._learner.quantile_s(call, _HEDGE_QUANTILE)
         usual_s = self._learner.quantile_s(call, _IN_TIME_QUANTILE)
         if at + usual_s > (call.target_at or call.deadline):
             at = self._rescue_at(call, now)
         if at + usual_s < call.deadline:
-            heapq.heappush(self._hedges, (at, call.call_id))
-
-    def _awaits_hedge(self, call_id: int) -> bool:
-        state = self._calls.get(call_id)
-        return (
-            state is not None
-            and not state.done
-            and state.started is None
-            and len(state.attempts) == 1
-        )
+            self._calls.hedge_at(state, at)
 
     def _hedge(
         self,
-        state: _CallState,
+        state: call_attempts.CallState,
         now: float,
         actions: list[calls.SchedulerAction],
     ) -> None:
@@ -571,11 +497,11 @@
             return
         rescue_at = self._rescue_at(call, attempt.started_at)
         if now < rescue_at < call.deadline:
-            heapq.heappush(self._hedges, (rescue_at, call.call_id))
+            self._calls.hedge_at(state, rescue_at)
 
     def _send_hedge(
         self,
-        state: _CallState,
+        state: call_attempts.CallState,
         now: float,
         actions: list[calls.SchedulerAction],
     ) -> bool:
@@ -595,7 +521,7 @@
         if not fast_only or state.hedge_tries % _MAX_HEDGE_TRIES == 0:
             return False
         self._probe(now, state.queued_at, actions)
-        heapq.heappush(self._hedges, (now + _HEDGE_RETRY_S, state.call.call_id))
+        self._calls.hedge_at(state, now + _HEDGE_RETRY_S)
         return True
 
     def _rescue_at(self, call: calls.Call, started_at: float) -> float:
--- a/tanagerspoke/coordination/scheduling.py
+++ b/tanagerspoke/coordination/scheduling.py
@@ -51,31 +51,6 @@
     zone_preference: bool = True
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Attempt:
-    record: loads.UpstreamLoad
-    started_at: float
-    is_hedge: bool
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _CallState:
-    """A call from its arrival until its last attempt ended."""
-
-    call: calls.Call
-    attempts: dict[int, _Attempt]
-    tried: tuple[str, ...] = ()
-    attempt_count: int = 0
-    hedge_tries: int = 0
-    done: bool = False
-    queued: bool = False
-    started: int | None = None
-    failed_answer: int | None = None
-    unknown: errors.ErrorCode | None = None
-    not_run: errors.ErrorCode | None = None
-    retry_after_s: float | None = None
-
-
 class ServiceScheduler:
     """Decides when and where each call of a service runs."""
 
@@ -122,10 +97,9 @@
         self._retry_budget = retries.TokenBudget(
             share=_RETRY_SHARE, capacity=_BUDGET_CAPACITY
         )
-        self._calls: dict[int, _CallState] = {}
+        self._calls = call_attempts.OpenCalls()
         self._own = 0
         self._own_pulls = 0
-        self._hedges: list[tuple[float, int]] = []
         self._expiries: list[tuple[float, int]] = []
         self._recheck_at: float | None = None
 
@@ -133,9 +107,10 @@
     def next_wakeup(self) -> float | None:
         """Time of the next `Tick` that is needed, or None."""
         wakeup = self._recheck_at
-        self._drop_stale_timers()
-        if self._hedges and (wakeup is None or self._hedges[0][0] < wakeup):
-            wakeup = self._hedges[0][0]
+        self._drop_stale_expiries()
+        hedge_at = self._calls.next_hedge
+        if hedge_at is not None and (wakeup is None or hedge_at < wakeup):
+            wakeup = hedge_at
         if self._expiries and (wakeup is None or self._expiries[0][0] < wakeup):
             wakeup = self._expiries[0][0]
         return wakeup
@@ -191,8 +166,7 @@
             case calls.AttemptEnded():
                 self._end(event, now, actions)
             case calls.AnswerStarted():
-                state = self._calls.get(event.call_id)
-                actions += call_attempts.start_answer(state, event.attempt)
+                actions += self._calls.start_answer(event)
             case calls.CallerLeft(call_id=call_id):
                 self._leave(call_id, actions)
             case calls.UpstreamsChanged(upstreams=changed):
@@ -214,8 +188,7 @@
         if refusal is not None:
             actions.append(refusal)
             return
-        state = _CallState(call=call, attempts={})
-        self._calls[call.call_id] = state
+        state = self._calls.add(call)
         if not len(self._queue):
             record = self._choose(state, now)
             if record is not None:
@@ -227,7 +200,9 @@
             return
         self._enqueue(state)
 
-    def _enqueue(self, state: _CallState, *, first: bool = False) -> None:
+    def _enqueue(
+        self, state: call_attempts.CallState, *, first: bool = False
+    ) -> None:
         expires_at = self._expires_at(state.call)
         state.queued = True
         self._queue.push(
@@ -238,7 +213,7 @@
 
     def _choose(
         self,
-        state: _CallState,
+        state: call_attempts.CallState,
         now: float,
         *,
         need_free_slot: bool = False,
@@ -267,7 +242,7 @@
 
     def _dispatch(
         self,
-        state: _CallState,
+        state: call_attempts.CallState,
         record: loads.UpstreamLoad,
         now: float,
         actions: list[calls.SchedulerAction],
@@ -277,7 +252,7 @@
         call = state.call
         state.attempt_count += 1
         attempt = state.attempt_count
-        state.attempts[attempt] = _Attempt(
+        state.attempts[attempt] = call_attempts.Attempt(
             record=record, started_at=now, is_hedge=is_hedge
         )
         upstream_id = record.upstream.upstream_id
@@ -291,7 +266,7 @@
             self._hedge_budget.earn()
             self._retry_budget.earn()
         if not is_hedge and self._on.hedging and hedging.may_hedge(call):
-            self._arm_hedge(call, now)
+            self._arm_hedge(state, now)
         actions.append(
             calls.Dispatch(
                 call_id=call.call_id,
@@ -307,12 +282,10 @@
         now: float,
         actions: list[calls.SchedulerAction],
     ) -> None:
-        state = self._calls.get(event.call_id)
-        if state is None:
-            return
-        attempt = state.attempts.pop(event.attempt, None)
-        if attempt is None:
+        ended = self._calls.end_attempt(event)
+        if ended is None:
             return
+        state, attempt = ended
         if event.load is not None:
             self._view.report(record=attempt.record, load=event.load, now=now)
         self._release(state.call, attempt)
@@ -325,20 +298,22 @@
             now=now,
         )
         if state.done:
-            self._forget(state)
+            self._calls.forget(state)
             return
         result = event.result
         if isinstance(result, calls.Answered) and not result.failed:
-            self._settle(state, event.attempt, actions)
+            actions += self._calls.settle(state, event.attempt)
             return
-        self._note_failure(state, event.attempt, result)
+        call_attempts.note_failure(state, event.attempt, result)
         if state.attempts:
             return
         if state.started is None and self._retry(state, result, now, actions):
             return
         self._finish(state, actions)
 
-    def _release(self, call: calls.Call, attempt: _Attempt) -> None:
+    def _release(
+        self, call: calls.Call, attempt: call_attempts.Attempt
+    ) -> None:
         record = attempt.record
         record.own -= 1
         self._own -= 1
@@ -347,32 +322,9 @@
             self._own_pulls -= 1
         self._view.released(record)
 
-    def _settle(
-        self,
-        state: _CallState,
-        attempt: int,
-        actions: list[calls.SchedulerAction],
-    ) -> None:
-        actions += call_attempts.settle(state, attempt)
-        self._forget(state)
-
-    def _note_failure(
-        self, state: _CallState, attempt: int, result: calls.AttemptResult
-    ) -> None:
-        match result:
-            case calls.Answered():
-                state.failed_answer = attempt
-            case calls.NotSent():
-                state.not_run = errors.ErrorCode.UPSTREAM_UNREACHABLE
-            case calls.Shed(retry_after_s=retry_after_s):
-                state.not_run = errors.ErrorCode.UPSTREAM_SHED
-                state.retry_after_s = retry_after_s
-            case _:
-                state.unknown = call_attempts.unknown_outcome(result)
-
     def _retry(
         self,
-        state: _CallState,
+        state: call_attempts.CallState,
         result: calls.AttemptResult,
         now: float,
         actions: list[calls.SchedulerAction],
@@ -395,26 +347,18 @@
         return True
 
     def _finish(
-        self, state: _CallState, actions: list[calls.SchedulerAction]
+        self,
+        state: call_attempts.CallState,
+        actions: list[calls.SchedulerAction],
     ) -> None:
         """Ends a call that has no attempt in flight and no good answer."""
-        state.done = True
-        call = state.call
-        if state.failed_answer is not None:
-            actions.append(
-                calls.Settle(call_id=call.call_id, attempt=state.failed_answer)
-            )
-        elif state.unknown is not None:
-            actions.append(calls.Fail(call_id=call.call_id, code=state.unknown))
-        else:
-            code = state.not_run or errors.ErrorCode.QUEUE_TIMEOUT
-            wait_s = state.retry_after_s or self._expected_wait_s(call)
-            actions.append(self._refusal(call, code, wait_s))
-        self._forget(state)
-
-    def _forget(self, state: _CallState) -> None:
-        if not state.attempts:
-            self._calls.pop(state.call.call_id, None)
+        ended = self._calls.fail(state)
+        if ended is not None:
+            actions.append(ended)
+            return
+        code = state.not_run or errors.ErrorCode.QUEUE_TIMEOUT
+        wait_s = state.retry_after_s or self._expected_wait_s(state.call)
+        actions.append(self._refusal(state.call, code, wait_s))
 
     def _leave(
         self, call_id: int, actions: list[calls.SchedulerAction]
@@ -429,7 +373,7 @@
         if state.call.idempotent:
             actions.extend(call_attempts.cancel_others(state, kept=None))
         # A write runs on: its outcome has to become known for repeats.
-        self._forget(state)
+        self._calls.forget(state)
 
     def _take_report(
         self, upstream_id: str, load: upstreams.LoadReport, now: float
@@ -441,8 +385,8 @@
     def _advance(
         self, now: float, actions: list[calls.SchedulerAction]
     ) -> None:
-        if self._hedges and self._hedges[0][0] <= now:
-            self._run_hedges(now, actions)
+        for state in self._calls.due_hedges(now):
+            self._hedge(state, now, actions)
         if self._expiries and self._expiries[0][0] <= now:
             self._expire(now, actions)
         if len(self._queue):
@@ -474,40 +418,21 @@
             if waiting is not None:
                 self._finish(state, actions)
 
-    def _arm_hedge(self, call: calls.Call, now: float) -> None:
+    def _arm_hedge(self, state: call_attempts.CallState, now: float) -> None:
         delay_s = self._learner.hedge_delay_s
-        if delay_s is not None and now + delay_s < call.deadline:
-            heapq.heappush(self._hedges, (now + delay_s, call.call_id))
+        if delay_s is not None and now + delay_s < state.call.deadline:
+            self._calls.hedge_at(state, now + delay_s)
 
-    def _drop_stale_timers(self) -> None:
-        while self._hedges and not self._awaits_hedge(self._hedges[0][1]):
-            heapq.heappop(self._hedges)
+    def _drop_stale_expiries(self) -> None:
         while self._expiries:
             state = self._calls.get(self._expiries[0][1])
             if state is not None and state.queued:
                 return
             heapq.heappop(self._expiries)
 
-    def _awaits_hedge(self, call_id: int) -> bool:
-        state = self._calls.get(call_id)
-        return (
-            state is not None
-            and not state.done
-            and state.started is None
-            and len(state.attempts) == 1
-        )
-
-    def _run_hedges(
-        self, now: float, actions: list[calls.SchedulerAction]
-    ) -> None:
-        while self._hedges and self._hedges[0][0] <= now:
-            _, call_id = heapq.heappop(self._hedges)
-            if self._awaits_hedge(call_id):
-                self._hedge(self._calls[call_id], now, actions)
-
     def _hedge(
         self,
-        state: _CallState,
+        state: call_attempts.CallState,
         now: float,
         actions: list[calls.SchedulerAction],
     ) -> None:
@@ -531,7 +456,7 @@
             return
         state.hedge_tries += 1
         if state.hedge_tries < _HEDGE_TRIES:
-            self._arm_hedge(call, now)
+            self._arm_hedge(state, now)
 
     def _pull_cap(self) -> int:
         """Returns the most pulls that this gateway runs.
--- a/tests/test_house_style.py
+++ b/tests/test_house_style.py
@@ -26,10 +26,7 @@
     "tanagerspoke/coordination/limits.py:_Usage": (
         "counters that change with each call of a client account"
     ),
-    "tanagerspoke/coordination/route_scheduling.py:_CallState": (
-        "a call on its way, which its scheduler alone owns and changes"
-    ),
-    "tanagerspoke/coordination/scheduling.py:_CallState": (
+    "tanagerspoke/coordination/call_attempts.py:CallState": (
         "a call on its way, which its scheduler alone owns and changes"
     ),
     "tanagerspoke/transport/callers/caller_calls.py:CallRecord": (
