Cut off heads that never end, and count control bytes and added latency

Cause: header_timeout_s of the configuration was decoded and not used: a caller that sends part of a head kept its connection for the whole idle timeout. On-call engineers saw neither the bytes of control nor what the system adds to a call; a late or lost reply named no request, and a probe's no service. Change: 408 header_timeout after the stated time; tanagerspoke_edge_control_bytes_total{kind} and tanagerspoke_edge_added_latency_seconds{route}; request_id and service in late_reply, lost_reply and crossed_reply. The settings file is decoded again only where its text changed. Fields of the platform that decided nothing (max_conns, cold_left_s) are not decoded any more.

--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -61,9 +61,7 @@
                 for index, (prefix, (service, kind)) in enumerate(paths.items())
             },
             services={
-                service: wire.Service(
-                    health_path=routed_worker.HEALTH_PATH, max_conns=200
-                )
+                service: wire.Service(health_path=routed_worker.HEALTH_PATH)
                 for service, _, _ in ROUTES.values()
             },
             limits=wire.Limits(
--- a/tanagerspoke/coordination/replies.py
+++ b/tanagerspoke/coordination/replies.py
@@ -15,9 +15,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Expected:
-    """A reply that did not come in time; `deadline` in monotonic seconds."""
+    """A reply that did not come in time; `deadline` in monotonic seconds.
+
+    The request id of a probe is empty.
+    """
 
     exchange_id: int
+    request_id: str
     client_account: str
     service: str
     upstream_id: str
--- a/tanagerspoke/platform/boot.py
+++ b/tanagerspoke/platform/boot.py
@@ -1,5 +1,6 @@
 """Decodes the settings file that the platform writes for a process."""
 
+import functools
 import os
 import pathlib
 import tomllib
@@ -80,8 +81,18 @@
         SettingsError: the file is unreadable or invalid; names every error.
     """
     try:
-        boot = _Boot.model_validate(tomllib.loads(path.read_text()))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise exceptions.SettingsError(f"{path}: {exc}") from exc
+    return _decode(path, text)
+
+
+# The file is read each second and seldom changes.
+@functools.lru_cache(maxsize=1)
+def _decode(path: pathlib.Path, text: str) -> edge.Edge:
+    try:
+        boot = _Boot.model_validate(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as exc:
         raise exceptions.SettingsError(f"{path}: {exc}") from exc
     except pydantic.ValidationError as exc:
         lines = [
--- a/tanagerspoke/platform/manifest.py
+++ b/tanagerspoke/platform/manifest.py
@@ -35,11 +35,7 @@
             _route(name, route) for name, route in found.routes.items()
         ),
         services={
-            name: routing.Service(
-                name=name,
-                health_path=service.health_path,
-                max_connections=service.max_conns,
-            )
+            name: routing.Service(name=name, health_path=service.health_path)
             for name, service in found.services.items()
         },
         limits=routing.CallerLimits(
@@ -117,7 +113,6 @@
             started_ms=entry.born,
         ),
         sequence=entry.seq_no,
-        cold_s=entry.cold_left_s,
     )
 
 
--- a/tanagerspoke/platform/store.py
+++ b/tanagerspoke/platform/store.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from tanagerspoke import exceptions
+from tanagerspoke.coordination import budget
 from tanagerspoke.platform import manifest
 from tanagerspoke.platform import wire
 from tanagerspoke.protocol import listing
@@ -31,6 +32,12 @@
     def __init__(self, *, endpoint: options.Endpoint) -> None:
         self._base = f"http://{endpoint.address}:{endpoint.port}"
         self._session: aiohttp.ClientSession | None = None
+        self._exchanged_bytes = 0
+
+    @property
+    def exchanged_bytes(self) -> int:
+        """Implements `StoreSource`."""
+        return self._exchanged_bytes
 
     async def start(self) -> None:
         """Implements `StoreSource`."""
@@ -123,21 +130,23 @@
             ) from exc
 
     async def _transact(self, transaction: wire.Transaction) -> None:
-        await self._call(
-            "POST", "/rows-tx", data=msgspec.json.encode(transaction)
-        )
+        data = msgspec.json.encode(transaction)
+        self._exchanged_bytes += len(data)
+        await self._call("POST", "/rows-tx", data=data)
 
     async def _call(
         self, method: str, path: str, *, wait_s: float = 0.0, **kwargs: Any
     ) -> bytes:
         if self._session is None:
             raise exceptions.PlatformUnavailableError("client is closed")
+        self._exchanged_bytes += budget.HTTP_OVERHEAD_BYTES
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S + wait_s):
                 async with self._session.request(
                     method, self._base + path, **kwargs
                 ) as resp:
                     body = await resp.read()
+                    self._exchanged_bytes += len(body)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise exceptions.PlatformUnavailableError(
                 f"{method} {path}: {type(exc).__name__}: {exc}"
--- a/tanagerspoke/platform/wire.py
+++ b/tanagerspoke/platform/wire.py
@@ -39,7 +39,6 @@
     """A service of a manifest."""
 
     health_path: str = "/health"
-    max_conns: int = 0
 
 
 class Limits(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,7 +80,6 @@
     state: str
     seq_no: int
     born: int
-    cold_left_s: float = 0.0
 
 
 class Row(msgspec.Struct, frozen=True, kw_only=True):
--- a/tanagerspoke/protocol/errors.py
+++ b/tanagerspoke/protocol/errors.py
@@ -36,6 +36,7 @@
     RATE_LIMITED = "rate_limited"
     CONCURRENCY_LIMITED = "concurrency_limited"
     HEADER_TOO_LARGE = "header_too_large"
+    HEADER_TIMEOUT = "header_timeout"
     QUEUE_TIMEOUT = "queue_timeout"
     QUEUE_FULL = "queue_full"
     NO_UPSTREAM = "no_upstream"
@@ -65,6 +66,7 @@
     ErrorCode.HEADER_TOO_LARGE: (
         http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
     ),
+    ErrorCode.HEADER_TIMEOUT: http.HTTPStatus.REQUEST_TIMEOUT,
     ErrorCode.QUEUE_TIMEOUT: http.HTTPStatus.SERVICE_UNAVAILABLE,
     ErrorCode.QUEUE_FULL: http.HTTPStatus.SERVICE_UNAVAILABLE,
     ErrorCode.NO_UPSTREAM: http.HTTPStatus.SERVICE_UNAVAILABLE,
--- a/tanagerspoke/protocol/listing.py
+++ b/tanagerspoke/protocol/listing.py
@@ -11,12 +11,10 @@
 
     Attributes:
         sequence: counts the reports of one start.
-        cold_s: seconds for which the upstream stays slow after its start.
     """
 
     upstream: upstreams.Upstream
     sequence: int
-    cold_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tanagerspoke/protocol/routing.py
+++ b/tanagerspoke/protocol/routing.py
@@ -44,18 +44,21 @@
 
     Attributes:
         health_path: path that an upstream of it answers probes on.
-        max_connections: most connections that one upstream of it accepts,
-            from all callers together.
     """
 
     name: str
     health_path: str
-    max_connections: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallerLimits:
-    """What a caller may send, and how long its connection may be idle."""
+    """What a caller may send, and how long it may take.
+
+    Attributes:
+        header_timeout_s: time from the first byte of a request to the end of
+            its headers.
+        idle_timeout_s: time that its connection may be unused.
+    """
 
     max_header_bytes: int
     max_body_bytes: int
--- a/tanagerspoke/transport/callers/caller_calls.py
+++ b/tanagerspoke/transport/callers/caller_calls.py
@@ -18,14 +18,23 @@
 
 # As long as aiohttp's own server keeps an unused connection.
 _IDLE_S = 3630.0
+# As long as common servers wait for the headers of a request.
+_HEADER_TIMEOUT_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Limits:
-    """What a caller may send, and how long its connection may be unused."""
+    """What a caller may send, and how long it may take.
+
+    Attributes:
+        header_timeout_s: time from the first byte of a request to the end of
+            its headers.
+        idle_timeout_s: time that its connection may be unused.
+    """
 
     max_header_bytes: int
     max_body_bytes: int
+    header_timeout_s: float = _HEADER_TIMEOUT_S
     idle_timeout_s: float = _IDLE_S
 
 
@@ -40,6 +49,7 @@
         dispatched: whether an upstream may have received the call.
         route: None where the request was refused before it was routed.
         deadline: monotonic seconds, None before the call was routed.
+        upstream_s: time of the attempt that was answered last, seconds.
         code: `ok` or an error code, None while the call runs.
         trail: what happened to the call, for the log.
     """
@@ -54,6 +64,7 @@
     dispatched: bool = False
     route: config.Route | routing.Route | None = None
     deadline: float | None = None
+    upstream_s: float | None = None
     code: str | None = None
     status: int = 0
     trail: list[dict[str, object]] = dataclasses.field(default_factory=list)
--- a/tanagerspoke/transport/callers/caller_connection.py
+++ b/tanagerspoke/transport/callers/caller_connection.py
@@ -67,6 +67,8 @@
     Attributes:
         call: the server's state of the running call, None between calls.
         idle_since: monotonic seconds of the end of the last call.
+        head_since: monotonic seconds of the first byte of a request whose
+            headers are not whole yet, None where there is none.
     """
 
     __slots__ = (
@@ -85,6 +87,7 @@
         "_reading_body",
         "_scheduled",
         "call",
+        "head_since",
         "idle_since",
     )
 
@@ -126,6 +129,7 @@
         self._linger_timer: asyncio.TimerHandle | None = None
         self.call: object = None
         self.idle_since = time.monotonic()
+        self.head_since: float | None = None
 
     @property
     def is_open(self) -> bool:
@@ -177,6 +181,7 @@
         if self._payload is not None:
             self._read_body()
         elif self._message is None and not self._scheduled:
+            self._note_head()
             self._next()
         if len(self._messages) > _MAX_PIPELINED and not self._buffer_paused:
             self._pause_reading_for_buffer()
@@ -233,6 +238,27 @@
         if self._paused:
             await self._drain_helper()
 
+    def refuse_head(self, code: errors.ErrorCode, message: str) -> None:
+        """Answers a request whose headers cannot be read; closes then."""
+        self.head_since = None
+        if self.is_open:
+            self.transport.write(
+                caller_protocol.error_bytes(
+                    code=code,
+                    message=message,
+                    request_id=secrets.token_hex(12),
+                )
+            )
+            # Not closed at once: see `_linger`. The caller sees the end of
+            # the answer by `Content-Length`.
+            self._shut_down()
+
+    def _note_head(self) -> None:
+        if self._messages:
+            self.head_since = None
+        elif self.head_since is None:
+            self.head_since = time.monotonic()
+
     def _next(self) -> None:
         self._scheduled = False
         if not self._messages or self._closing:
@@ -312,18 +338,9 @@
         code = errors.ErrorCode.MALFORMED_REQUEST
         if isinstance(exc, http_exceptions.LineTooLong):
             code = errors.ErrorCode.HEADER_TOO_LARGE
-        if self.is_open:
-            self.transport.write(
-                caller_protocol.error_bytes(
-                    code=code,
-                    message="the request is not valid HTTP: "
-                    f"{type(exc).__name__}",
-                    request_id=secrets.token_hex(12),
-                )
-            )
-            # Not closed at once: see `_linger`. The caller sees the end of
-            # the answer by `Content-Length`.
-            self._shut_down()
+        self.refuse_head(
+            code, f"the request is not valid HTTP: {type(exc).__name__}"
+        )
 
     def _shut_down(self) -> None:
         if self.transport.can_write_eof():
--- a/tanagerspoke/transport/callers/caller_server.py
+++ b/tanagerspoke/transport/callers/caller_server.py
@@ -27,8 +27,10 @@
 
 # Time for a caller to read the end of its answer beyond the call's deadline.
 _READ_GRACE_S = 5.0
-# Share of the idle timeout between two looks for idle connections.
+# Share of a timeout by which a connection may be cut off late.
 _SWEEP_SHARE = 0.02
+# Looks at all connections cost processor time.
+_MIN_SWEEP_S = 0.05
 _FAILURE_LINES_PER_S = 10.0
 _FAILURE_LINES_BURST = 100
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
@@ -468,14 +470,25 @@
         await conn.drain()
 
     def _arm_sweep(self) -> None:
+        limits = self._limits()
+        shortest_s = min(limits.idle_timeout_s, limits.header_timeout_s)
         self._sweep_timer = asyncio.get_running_loop().call_later(
-            _SWEEP_SHARE * self._limits().idle_timeout_s, self._sweep
+            max(_MIN_SWEEP_S, _SWEEP_SHARE * shortest_s), self._sweep
         )
 
     def _sweep(self) -> None:
-        oldest = time.monotonic() - self._limits().idle_timeout_s
+        limits = self._limits()
+        now = time.monotonic()
         for conn in list(self._conns):
-            if conn.call is None and conn.idle_since < oldest:
+            if conn.call is not None:
+                continue
+            since = conn.head_since
+            if since is not None and now - since > limits.header_timeout_s:
+                conn.refuse_head(
+                    errors.ErrorCode.HEADER_TIMEOUT,
+                    f"no whole headers in {limits.header_timeout_s:g} s",
+                )
+            elif now - conn.idle_since > limits.idle_timeout_s:
                 conn.close()
         self._arm_sweep()
 
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -113,6 +113,12 @@
             on_nodes=self._take_nodes,
             on_store_call=self._metrics.count_store_call,
         )
+        self._metrics.watch_control(
+            kind="store", read=lambda: adapter.store.exchanged_bytes
+        )
+        self._metrics.watch_control(
+            kind="news", read=lambda: self._news.exchanged_bytes
+        )
         self._server = caller_server.CallerServer(
             listen=cfg.callers,
             limits=lambda: self._limits,
@@ -235,6 +241,7 @@
         self._limits = caller_calls.Limits(
             max_header_bytes=limits.max_header_bytes,
             max_body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
         )
         self._metrics.config_version.set(table.version)
@@ -381,8 +388,10 @@
         if record is None:
             return
         self._metrics.observe_attempt(record.service, ended, elapsed_s)
-        if action.is_hedge and isinstance(ended.result, calls.Answered):
-            self._metrics.count_won_hedge(record.service)
+        if isinstance(ended.result, calls.Answered):
+            record.upstream_s = elapsed_s
+            if action.is_hedge:
+                self._metrics.count_won_hedge(record.service)
         record.trail.append(
             {
                 "end": action.attempt,
--- a/tanagerspoke/transport/operations/edge_metrics.py
+++ b/tanagerspoke/transport/operations/edge_metrics.py
@@ -1,12 +1,13 @@
 """Prometheus metrics of the edge, and the log line of a call."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 import functools
 import logging
 import random
 import time
 
 import prometheus_client
+from prometheus_client import core
 
 from tanagerspoke.protocol import calls
 from tanagerspoke.transport.callers import caller_calls
@@ -38,6 +39,43 @@
 )
 
 
+# The target for what the system adds to a call is 0.65 ms.
+_ADDED_BUCKETS_S = (
+    0.00025,
+    0.0005,
+    0.00065,
+    0.001,
+    0.0025,
+    0.005,
+    0.025,
+    0.1,
+    0.5,
+    2.5,
+)
+
+
+class _ControlBytes:
+    """Collector of the totals that the clients of control count.
+
+    Attributes:
+        reads: functions that return the totals, by kind.
+    """
+
+    def __init__(self) -> None:
+        self.reads: dict[str, Callable[[], int]] = {}
+
+    def collect(self) -> Iterator[core.Metric]:
+        """Returns the metric with its samples."""
+        family = core.CounterMetricFamily(
+            "tanagerspoke_edge_control_bytes",
+            "Bytes exchanged with the store and with other nodes",
+            labels=("kind",),
+        )
+        for kind, read in self.reads.items():
+            family.add_metric([kind], read())
+        yield family
+
+
 class EdgeMetrics:
     """Counters and histograms by route, service and outcome.
 
@@ -106,6 +144,18 @@
             bounds_s=_BUCKETS_S,
         )
         registry.register(self._queue_wait)
+        self._added_latency = duration_histogram.DurationHistogram(
+            name="tanagerspoke_edge_added_latency_seconds",
+            documentation=(
+                "Duration of an answered call beyond the attempt that was"
+                " answered: queue, earlier attempts and own work"
+            ),
+            labels=("route",),
+            bounds_s=_ADDED_BUCKETS_S,
+        )
+        registry.register(self._added_latency)
+        self._control_bytes = _ControlBytes()
+        registry.register(self._control_bytes)
         self._retries = counter(
             "tanagerspoke_edge_retries", "Attempts after others", ("service",)
         )
@@ -140,6 +190,10 @@
         self._queue_length.labels(service).set_function(queued)
         self._budget_left.labels(service).set_function(budget_left)
 
+    def watch_control(self, *, kind: str, read: Callable[[], int]) -> None:
+        """Reads a total of control bytes when metrics are collected."""
+        self._control_bytes.reads[kind] = read
+
     def count_dispatch(self, service: str, action: calls.Dispatch) -> None:
         """Counts hedges and retries."""
         if action.is_hedge:
@@ -183,6 +237,9 @@
             good = code == "ok" and record.status < 400 and not late
             self._in_time.labels(name, "yes" if good else "no").inc()
             self._duration.labels(name).observe(duration_s)
+            if record.upstream_s is not None and code == "ok":
+                added_s = max(0.0, duration_s - record.upstream_s)
+                self._added_latency.labels(name).observe(added_s)
         failed = code != "ok" or record.status >= 400
         if not (failed or late or random.random() < _LOG_SAMPLE):
             return
--- a/tanagerspoke/transport/peers/news_client.py
+++ b/tanagerspoke/transport/peers/news_client.py
@@ -1,7 +1,7 @@
 """Follows the news of another node."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 import logging
 
 import aiohttp
@@ -30,10 +30,15 @@
 
 
 class NewsClient:
-    """Reads the news of one node at a time."""
+    """Reads the news of one node at a time.
+
+    Attributes:
+        received_bytes: size of all frames.
+    """
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
+        self.received_bytes = 0
 
     async def start(self) -> None:
         """Opens the client."""
@@ -92,7 +97,7 @@
                 asyncio.timeout(_STATE_TIMEOUT_S),
                 self._session.get(url) as resp,
             ):
-                return [item async for item in news_codec.read(resp.content)]
+                return [item async for item in self._frames(resp)]
         except (
             TimeoutError,
             aiohttp.ClientError,
@@ -101,10 +106,16 @@
         ) as exc:
             raise NewsLostError(f"no state: {exc!r}") from exc
 
+    def _frames(self, resp: aiohttp.ClientResponse) -> AsyncIterator[news.News]:
+        return news_codec.read(resp.content, on_bytes=self._count)
+
+    def _count(self, size_bytes: int) -> None:
+        self.received_bytes += size_bytes
+
     async def _read(
         self, resp: aiohttp.ClientResponse, on_news: Callable[[news.News], None]
     ) -> None:
-        stream = news_codec.read(resp.content)
+        stream = self._frames(resp)
         while True:
             async with asyncio.timeout(_SILENCE_S):
                 try:
--- a/tanagerspoke/transport/peers/news_codec.py
+++ b/tanagerspoke/transport/peers/news_codec.py
@@ -1,7 +1,7 @@
 """Frames of news on a stream: length, then compressed MessagePack."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import struct
 import zlib
 
@@ -27,9 +27,17 @@
     return _LENGTH.pack(len(data)) + data
 
 
-async def read(stream: aiohttp.StreamReader) -> AsyncIterator[news.News]:
+async def read(
+    stream: aiohttp.StreamReader,
+    *,
+    on_bytes: Callable[[int], None] = lambda count: None,
+) -> AsyncIterator[news.News]:
     """Yields the news of a stream until it ends.
 
+    Args:
+        stream: body of an answer.
+        on_bytes: gets the size of each frame.
+
     Raises:
         ProtocolError: the bytes are no news.
     """
@@ -42,6 +50,7 @@
             data = await stream.readexactly(length)
         except asyncio.IncompleteReadError:
             return
+        on_bytes(_LENGTH.size + length)
         try:
             yield _decoder.decode(zlib.decompress(data))
         except (zlib.error, msgspec.DecodeError) as exc:
--- a/tanagerspoke/transport/peers/news_server.py
+++ b/tanagerspoke/transport/peers/news_server.py
@@ -24,6 +24,9 @@
 
     A node that follows another one, or cannot read the store, refuses
     followers, so that news pass through one node at most.
+
+    Attributes:
+        sent_bytes: size of all frames.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         self._followers: set[asyncio.Queue[bytes]] = set()
         self._streams: set[asyncio.Task[None]] = set()
         self._runner: web.AppRunner | None = None
+        self.sent_bytes = 0
 
     async def start(self) -> None:
         """Opens the port."""
@@ -99,7 +103,9 @@
             current = True
             while current and queue.qsize() < _MAX_BEHIND:
                 current = self._is_current()
-                await resp.write(await self._next_frame(queue))
+                frame = await self._next_frame(queue)
+                await resp.write(frame)
+                self.sent_bytes += len(frame)
         except ConnectionError as exc:
             log.debug("follower_lost", extra={"error": repr(exc)})
         finally:
@@ -111,7 +117,9 @@
     async def _state(self, req: web.Request) -> web.Response:
         del req
         frames = [news_codec.encode(item) for item in self._known()]
-        return web.Response(body=b"".join(frames))
+        body = b"".join(frames)
+        self.sent_bytes += len(body)
+        return web.Response(body=body)
 
     async def _next_frame(self, queue: asyncio.Queue[bytes]) -> bytes:
         try:
--- a/tanagerspoke/transport/peers/zone_news.py
+++ b/tanagerspoke/transport/peers/zone_news.py
@@ -90,6 +90,11 @@
         """Whether another node's news take the place of own reads."""
         return self._nodes_known.is_set() and not self._follower.is_reading
 
+    @property
+    def exchanged_bytes(self) -> int:
+        """Bytes of news sent to and received from other nodes."""
+        return self._server.sent_bytes + self._client.received_bytes
+
     def set_options(self, cfg: edge.Edge) -> None:
         """Takes changed options; addresses stay."""
         self._cfg = cfg
--- a/tanagerspoke/transport/store/store_source.py
+++ b/tanagerspoke/transport/store/store_source.py
@@ -15,6 +15,10 @@
     knows the changes since then.
     """
 
+    @property
+    def exchanged_bytes(self) -> int:
+        """Bytes sent and received since the start, with their headers."""
+
     async def start(self) -> None:
         """Opens the connection pool."""
 
--- a/tanagerspoke/transport/upstreams/upstream_client.py
+++ b/tanagerspoke/transport/upstreams/upstream_client.py
@@ -550,8 +550,9 @@
 def _expected(exchange: Exchange) -> replies.Expected:
     return replies.Expected(
         exchange_id=exchange.exchange_id,
+        request_id=exchange.request.request_id,
         client_account=exchange.request.client_account,
-        service=exchange.request.service,
+        service=exchange.upstream.service,
         upstream_id=exchange.upstream.upstream_id,
         deadline=exchange.deadline,
     )
@@ -559,6 +560,7 @@
 
 def _describe(expected: replies.Expected) -> dict[str, str]:
     return {
+        "request_id": expected.request_id,
         "client_account": expected.client_account,
         "service": expected.service,
         "upstream": expected.upstream_id,
--- a/tests/coordination/test_replies.py
+++ b/tests/coordination/test_replies.py
@@ -28,6 +28,7 @@
         self.next_id += 1
         return replies.Expected(
             exchange_id=self.next_id,
+            request_id="call-1",
             client_account="oulu-shop",
             service="map-viewing",
             upstream_id="u1",
--- a/tests/transport/callers/test_caller_connection.py
+++ b/tests/transport/callers/test_caller_connection.py
@@ -96,3 +96,16 @@
     if not too_large:
         conn.data_received(b"nonsense\r\n")
     assert seen.seen == ["/a", ("refused", too_large)]
+
+
+async def test_time_of_a_head_counts_from_its_first_byte() -> None:
+    """Guards against a caller that holds a connection by a head in parts."""
+    conn = _connection(Calls())
+    assert conn.head_since is None
+    conn.data_received(b"GET /a HTTP/1.1\r\n")
+    started = conn.head_since
+    assert started is not None
+    conn.data_received(b"Host: a\r\n")
+    assert conn.head_since == started
+    conn.data_received(b"\r\n")
+    assert conn.head_since is None
--- a/tests/transport/test_edge_service.py
+++ b/tests/transport/test_edge_service.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import re
+import time
 
 import aiohttp
 import pytest
@@ -296,16 +298,50 @@
         await found.wait_ready()
         async with found.request("GET", "/read/x") as resp:
             assert resp.status == 200
-        port = found.cfgs[0].metrics_port
-        async with found.session.get(
-            f"http://127.0.0.1:{port}/metrics"
-        ) as resp:
-            text = await resp.text()
+        text = await _metrics(found)
         assert (
             'tanagerspoke_edge_calls_total{code="ok",route="r-read"} 1.0'
             in text
         )
         assert "tanagerspoke_edge_config_version 1.0" in text
+        assert (
+            'tanagerspoke_edge_added_latency_seconds_count{route="r-read"} 1.0'
+            in text
+        )
+        store = re.search(r'control_bytes_total{kind="store"} (\S+)', text)
+        assert store is not None
+        # Registration, list of nodes, configuration and list of workers.
+        assert float(store[1]) > 4 * 500
+
+
+async def test_head_that_never_ends_is_cut_off() -> None:
+    """Guards against callers that hold connections for nothing."""
+    limits = {
+        "max_header_bytes": 4096,
+        "max_body_bytes": 10_000,
+        "header_timeout_s": 0.3,
+        "idle_timeout_s": 15,
+    }
+    async with edge_stack.run() as found:
+        await found.wait_ready()
+        changed = edge_stack.manifest(2, limits=limits)
+        await found.store.put("op", "config", changed)
+
+        async def is_in_force() -> bool:
+            return "config_version 2.0" in await _metrics(found)
+
+        await edge_stack.wait_for(is_in_force)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", found.cfgs[0].callers.port
+        )
+        writer.write(b"GET /read/x HTTP/1.1\r\n")
+        started = time.monotonic()
+        answer = await asyncio.wait_for(reader.read(), stack.WAIT_S)
+        assert time.monotonic() - started >= 0.3
+        assert answer.startswith(b"HTTP/1.1 408 ")
+        assert b"not-run" in answer
+        writer.close()
+        assert sum(len(w.ran) for w in found.workers) == 0
 
 
 async def test_ejection_is_told(caplog: pytest.LogCaptureFixture) -> None:
@@ -325,9 +361,7 @@
             r for r in caplog.records if r.message == "upstream_ejected"
         ]
         assert (record.service, record.upstream) == ("shop", "w0")
-        url = f"http://127.0.0.1:{found.cfgs[0].metrics_port}/metrics"
-        async with found.session.get(url) as resp:
-            text = await resp.text()
+        text = await _metrics(found)
         assert 'edge_ejections_total{service="shop"} 1.0' in text
         assert 'edge_store_calls_total{result="ok"}' in text
         assert 'edge_queue_wait_seconds_count{service="shop"}' in text
@@ -346,6 +380,12 @@
             assert resp.status == 200
 
 
+async def _metrics(found: edge_stack.EdgeStack) -> str:
+    url = f"http://127.0.0.1:{found.cfgs[0].metrics_port}/metrics"
+    async with found.session.get(url) as resp:
+        return await resp.text()
+
+
 async def _status(pending: aiohttp.client._RequestContextManager) -> int:
     async with pending as resp:
         await resp.read()
