Keep connections that upstreams forgot out of use

Cause: an upstream that forgot a connection that rested resets it at the next request. Result: test_forgotten_connections_are_not_used_again fails before and passes after.

--- a/tanagerspoke/transport/upstreams/upstream_client.py
+++ b/tanagerspoke/transport/upstreams/upstream_client.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
 import dataclasses
 import itertools
@@ -19,6 +18,7 @@
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.transport.operations import log_limit
 from tanagerspoke.transport.upstreams import answer_stream
+from tanagerspoke.transport.upstreams import idle_pool
 from tanagerspoke.transport.upstreams import upstream_connection
 from tanagerspoke.transport.upstreams import upstream_dialect
 
@@ -27,12 +27,6 @@
 # A new connection takes about 1 ms (design page, 1.5); a host that has not
 # accepted one in this time is gone or overloaded.
 _CONNECT_TIMEOUT_S = 0.5
-_MAX_IDLE_PER_UPSTREAM = 16
-# Shorter than the keep-alive time of common servers, so that a connection is
-# rarely closed by the upstream just when a request is written to it.
-_IDLE_S = 20.0
-# Before the end of the time that the upstream states in `Keep-Alive`.
-_KEEP_ALIVE_MARGIN_S = 1.0
 _SWEEP_INTERVAL_S = 5.0
 _WATCH_LATE_S = 30.0
 
@@ -87,6 +81,7 @@
         "exchange_id",
         "load",
         "request",
+        "sent_at",
         "upstream",
         "watched",
     )
@@ -109,6 +104,7 @@
         self.request = request
         self.attempt = attempt
         self.deadline = deadline
+        self.sent_at = 0.0
         self.conn: upstream_connection.UpstreamConnection | None = None
         self.load: upstreams.LoadReport | None = None
         self.ended = False
@@ -128,7 +124,7 @@
     def start(self, loop: asyncio.AbstractEventLoop) -> None:
         """Takes an idle connection or opens a new one."""
         self._timer = loop.call_at(self.deadline, self._time_out)
-        conn = self._client.take_idle(self.upstream.upstream_id)
+        conn = self._client.take_idle(self.upstream)
         if conn is not None:
             self._send(conn)
         else:
@@ -158,6 +154,7 @@
             self._client.call_soon(self._fail, calls.NotSent(), str(exc))
             return
         self.conn = conn
+        self.sent_at = self._client.now()
         conn.send(method=self.request.method, data=data, receiver=self)
 
     def _serialize(self, remaining_ms: int) -> bytes:
@@ -212,6 +209,8 @@
         if self.watched:
             self._client.note_watch_broke(self)
             return
+        if self.conn is not None and self.conn.reader.head is None:
+            self._client.note_reset(self)
         self._fail(calls.Broken(), error)
 
     def _hold(self, body: bytes) -> None:
@@ -338,9 +337,7 @@
     ) -> None:
         self.dialect = dialect or upstream_dialect.OwnDialect()
         self._loop: asyncio.AbstractEventLoop | None = None
-        self._idle: dict[
-            str, collections.deque[upstream_connection.UpstreamConnection]
-        ] = collections.defaultdict(collections.deque)
+        self._idle = idle_pool.IdlePool()
         self._exchange_ids = itertools.count(1)
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._replies = replies.ReplyWatch(
@@ -366,10 +363,7 @@
         for timer in (self._sweep_timer, self._reply_timer):
             if timer is not None:
                 timer.cancel()
-        for idle in self._idle.values():
-            for conn in idle:
-                conn.close()
-        self._idle.clear()
+        self._idle.close()
         for exchange in self._watched.values():
             if exchange.conn is not None:
                 exchange.conn.close()
@@ -413,16 +407,10 @@
         return self._loop.time()
 
     def take_idle(
-        self, upstream_id: str
+        self, upstream: upstreams.Upstream
     ) -> upstream_connection.UpstreamConnection | None:
         """Returns the idle connection that was used last, or None."""
-        idle = self._idle.get(upstream_id)
-        while idle:
-            conn = idle.pop()
-            if conn.is_usable and conn.usable_until > self._loop.time():
-                return conn
-            conn.close()
-        return None
+        return self._idle.take(upstream, self._loop.time())
 
     async def connect(
         self, upstream: upstreams.Upstream
@@ -440,14 +428,16 @@
 
     def release(self, conn: upstream_connection.UpstreamConnection) -> None:
         """Keeps a connection whose exchange ended, or closes it."""
-        idle = self._idle[conn.upstream_id]
-        if not conn.may_be_reused or len(idle) >= _MAX_IDLE_PER_UPSTREAM:
-            conn.close()
-            return
-        conn.release()
-        conn.idle_since = self._loop.time()
-        conn.usable_until = conn.idle_since + _idle_limit_s(conn.reader.head)
-        idle.append(conn)
+        self._idle.keep(conn, self._loop.time())
+
+    def note_reset(self, exchange: Exchange) -> None:
+        """Notes that a connection broke before any byte of an answer."""
+        self._idle.note_reset(
+            upstream=exchange.upstream,
+            conn=exchange.conn,
+            sent_at=exchange.sent_at,
+            now=self._loop.time(),
+        )
 
     def watch(self, exchange: Exchange) -> None:
         """Takes over an exchange that timed out."""
@@ -511,16 +501,7 @@
                 self._on_lost(expected)
 
     def _sweep(self) -> None:
-        oldest = self._loop.time() - _IDLE_S
-        for upstream_id, idle in list(self._idle.items()):
-            while idle and (
-                idle[0].closed
-                or idle[0].idle_since < oldest
-                or idle[0].usable_until < self._loop.time()
-            ):
-                idle.popleft().close()
-            if not idle:
-                del self._idle[upstream_id]
+        self._idle.sweep(self._loop.time())
         self._sweep_timer = self._loop.call_later(
             _SWEEP_INTERVAL_S, self._sweep
         )
@@ -532,16 +513,6 @@
     )
 
 
-def _idle_limit_s(head) -> float:
-    """Returns how long a connection may stay unused before it is reused."""
-    value = head.headers.get("Keep-Alive", "")
-    for part in value.split(","):
-        name, _, seconds = part.strip().partition("=")
-        if name.lower() == "timeout" and seconds.isdecimal():
-            return min(_IDLE_S, int(seconds) - _KEEP_ALIVE_MARGIN_S)
-    return _IDLE_S
-
-
 def _content_length(head) -> int | None:
     value = head.headers.get("Content-Length")
     return int(value) if value is not None and value.isdecimal() else None
