--- a/tanagerspoke/transport/upstreams/upstream_client.py
+++ b/tanagerspoke/transport/upstreams/upstream_client.py
@@ -81,7 +81,6 @@
         "exchange_id",
         "load",
         "request",
-        "sent_at",
         "upstream",
         "watched",
     )
@@ -104,7 +103,6 @@
         self.request = request
         self.attempt = attempt
         self.deadline = deadline
-        self.sent_at = 0.0
         self.conn: upstream_connection.UpstreamConnection | None = None
         self.load: upstreams.LoadReport | None = None
         self.ended = False
@@ -124,7 +122,7 @@
     def start(self, loop: asyncio.AbstractEventLoop) -> None:
         """Takes an idle connection or opens a new one."""
         self._timer = loop.call_at(self.deadline, self._time_out)
-        conn = self._client.take_idle(self.upstream)
+        conn = self._client.take_idle(self.upstream.upstream_id)
         if conn is not None:
             self._send(conn)
         else:
@@ -154,7 +152,6 @@
             self._client.call_soon(self._fail, calls.NotSent(), str(exc))
             return
         self.conn = conn
-        self.sent_at = self._client.now()
         conn.send(method=self.request.method, data=data, receiver=self)
 
     def _serialize(self, remaining_ms: int) -> bytes:
@@ -209,8 +206,6 @@
         if self.watched:
             self._client.note_watch_broke(self)
             return
-        if self.conn is not None and self.conn.reader.head is None:
-            self._client.note_reset(self)
         self._fail(calls.Broken(), error)
 
     def _hold(self, body: bytes) -> None:
@@ -407,10 +402,10 @@
         return self._loop.time()
 
     def take_idle(
-        self, upstream: upstreams.Upstream
+        self, upstream_id: str
     ) -> upstream_connection.UpstreamConnection | None:
         """Returns the idle connection that was used last, or None."""
-        return self._idle.take(upstream, self._loop.time())
+        return self._idle.take(upstream_id, self._loop.time())
 
     async def connect(
         self, upstream: upstreams.Upstream
@@ -430,15 +425,6 @@
         """Keeps a connection whose exchange ended, or closes it."""
         self._idle.keep(conn, self._loop.time())
 
-    def note_reset(self, exchange: Exchange) -> None:
-        """Notes that a connection broke before any byte of an answer."""
-        self._idle.note_reset(
-            upstream=exchange.upstream,
-            conn=exchange.conn,
-            sent_at=exchange.sent_at,
-            now=self._loop.time(),
-        )
-
     def watch(self, exchange: Exchange) -> None:
         """Takes over an exchange that timed out."""
         self._watched[exchange.exchange_id] = exchange
--- a/tanagerspoke/transport/upstreams/upstream_connection.py
+++ b/tanagerspoke/transport/upstreams/upstream_connection.py
@@ -34,7 +34,6 @@
 
     Attributes:
         idle_since: time of the last release, in seconds of the loop's clock.
-        rested_s: time that it was not used before the exchange it runs.
         usable_until: time at which the upstream may close it.
     """
 
@@ -43,7 +42,6 @@
         "closed",
         "idle_since",
         "reader",
-        "rested_s",
         "transport",
         "upstream_id",
         "usable_until",
@@ -57,7 +55,6 @@
         self.transport: asyncio.Transport | None = None
         self.closed = False
         self.idle_since = 0.0
-        self.rested_s = 0.0
         self.usable_until = 0.0
         self._receiver: Receiver | None = None
 
