Compare the edge's scheduler with round robin in virtual time

Ruled out: a comparison of means only: the test counts answers within the target, call by call the same work and faults.

--- a/bench/fake_upstreams.py
+++ b/bench/fake_upstreams.py
@@ -15,6 +15,8 @@
 _ONE_WAY_S = 0.0002
 _ZONE_ONE_WAY_S = 0.0006
 _FAST_FAILURE_S = 0.001
+# Time after which an unanswered probe ends.
+_PROBE_TIMEOUT_S = 0.25
 
 
 class Clock:
@@ -63,6 +65,7 @@
         self.dead = False
         self.frozen = False
         self.reported_in_flight: int | None = None
+        self.tells_slowness = False
         self._clock = clock
         self._stale_s = stale_s
         self._running: set[Job] = set()
@@ -83,6 +86,12 @@
         self._start()
         self._note()
 
+    def probe(self) -> upstreams.LoadReport | None:
+        """Returns the load at this moment, None where nothing answers."""
+        if self.dead or self.frozen:
+            return None
+        return self._report()
+
     def cancel(self, job: Job) -> None:
         """Ends an attempt whose caller is gone, and frees its slot."""
         job.gone = True
@@ -142,8 +151,11 @@
             self._history.clear()
         if self.reported_in_flight is not None:
             in_flight = self.reported_in_flight
+        slowness = self.slow_factor if self.tells_slowness else 1.0
         return upstreams.LoadReport(
-            in_flight=in_flight, slots=self.upstream.slots
+            in_flight=in_flight,
+            slots=self.upstream.slots,
+            host_slowness=slowness,
         )
 
 
@@ -246,6 +258,10 @@
                 job = self._jobs.get((call_id, attempt))
                 if job is not None:
                     self._stop(job, calls.Cancelled())
+            case calls.Probe(upstream_id=upstream_id):
+                fake = self._fakes[upstream_id]
+                when = self._clock.now + self.one_way_s(fake)
+                self._clock.at(when, self._probe, fake)
             case calls.Settle(call_id=call_id, attempt=attempt):
                 result = self._results[(call_id, attempt)]
                 good = isinstance(result, calls.Answered) and not result.failed
@@ -255,6 +271,16 @@
             case calls.Fail(call_id=call_id):
                 self._close(call_id, "failed")
 
+    def _probe(self, fake: FakeUpstream) -> None:
+        load = fake.probe()
+        delay_s = self.one_way_s(fake) if load else _PROBE_TIMEOUT_S
+        event = calls.ProbeEnded(
+            upstream_id=fake.upstream.upstream_id,
+            load=load,
+            answered=load is not None,
+        )
+        self._clock.at(self._clock.now + delay_s, self.handle, event)
+
     def _close(self, call_id: int, outcome: str) -> None:
         record = self.records[call_id]
         if record.outcome:
--- /dev/null
+++ b/tests/coordination/test_route_differential.py
@@ -0,0 +1,177 @@
+"""The edge's scheduler against a round robin, in virtual time.
+
+Both get the same calls, work times and faults behind the same interface.
+"""
+
+from collections.abc import Callable
+import random
+
+import pytest
+
+from bench import fake_upstreams
+from bench import naive
+from tanagerspoke.coordination import probe_rounds
+from tanagerspoke.coordination import retry_budget
+from tanagerspoke.coordination import route_scheduling
+from tanagerspoke.protocol import calls
+from tests.coordination import helpers
+
+_WORKERS = 9
+_NODES = 3
+_SECONDS = 20.0
+_MEAN_WORK_S = 0.15
+# Calls a second at which 40 % of the slots are busy.
+_CALM_RATE = 0.4 * 3 * _WORKERS / _MEAN_WORK_S
+_TARGET_S = 0.6
+_TIMEOUT_S = 2.5
+_ROUTES = ("read", "write")
+
+_Fakes = list[fake_upstreams.FakeUpstream]
+_Plan = Callable[[fake_upstreams.Clock, _Fakes], None]
+
+
+def _calm(clock: fake_upstreams.Clock, fakes: _Fakes) -> None:
+    """Plans nothing."""
+
+
+def _slow_host(clock: fake_upstreams.Clock, fakes: _Fakes) -> None:
+    clock.at(4.0, setattr, fakes[0], "slow_factor", 8.0)
+    clock.at(14.0, setattr, fakes[0], "slow_factor", 1.0)
+
+
+def _spells(clock: fake_upstreams.Clock, fakes: _Fakes) -> None:
+    """Slows each host for 150 ms, a quarter of the time."""
+    rng = random.Random(7)
+    for fake in fakes:
+        at = 0.0
+        while at < _SECONDS:
+            factor = rng.choice((1.0, 1.0, 1.0, 5.0))
+            clock.at(at, setattr, fake, "slow_factor", factor)
+            at += 0.15
+
+
+def _failing(clock: fake_upstreams.Clock, fakes: _Fakes) -> None:
+    clock.at(4.0, setattr, fakes[0], "fail_fast", True)
+    clock.at(14.0, setattr, fakes[0], "fail_fast", False)
+
+
+def _frozen(clock: fake_upstreams.Clock, fakes: _Fakes) -> None:
+    clock.at(6.0, setattr, fakes[0], "frozen", True)
+
+
+def _lost_zone(clock: fake_upstreams.Clock, fakes: _Fakes) -> None:
+    for fake in fakes:
+        if fake.upstream.availability_zone == "b":
+            clock.at(8.0, fake.die)
+
+
+def _edge_scheduler(number: int) -> route_scheduling.RouteScheduler:
+    return route_scheduling.RouteScheduler(
+        availability_zone="abc"[number % 3],
+        zone_distance_s=0.03,
+        budget=retry_budget.RetryBudget(
+            ratio=0.2,
+            shared_extra=20.0,
+            window_s=10.0,
+            extra_from=0.0,
+            nodes=_NODES,
+        ),
+        probes=probe_rounds.ProbeRounds(
+            availability_zone="abc"[number % 3], rate_per_upstream_s=30.0
+        ),
+        rng=random.Random(number),
+        nodes=_NODES,
+    )
+
+
+def _run(
+    *, plan: _Plan, seed: int, rate: float, edge: bool
+) -> list[fake_upstreams.Record]:
+    clock = fake_upstreams.Clock()
+    listed = helpers.make_upstreams(_WORKERS)
+    fakes = {
+        upstream.upstream_id: fake_upstreams.FakeUpstream(
+            clock=clock, upstream=upstream, stale_s=0.0
+        )
+        for upstream in listed
+    }
+    for fake in fakes.values():
+        fake.tells_slowness = True
+
+    def service_s(call: calls.Call, attempt: int) -> float:
+        # The same first attempt lasts as long under both schedulers.
+        return fake_upstreams.service_time(
+            mean_s=_MEAN_WORK_S,
+            sigma=0.8,
+            rng=random.Random(seed * 1_000_003 + call.call_id * 7 + attempt),
+        )
+
+    nodes = [
+        fake_upstreams.Gateway(
+            clock=clock,
+            scheduler=(
+                _edge_scheduler(number)
+                if edge
+                else naive.NaiveScheduler(start=3 * number)
+            ),
+            zone="abc"[number % 3],
+            fakes=fakes,
+            service_s=service_s,
+        )
+        for number in range(_NODES)
+    ]
+    for node in nodes:
+        node.handle(calls.UpstreamsChanged(upstreams=listed))
+    plan(clock, list(fakes.values()))
+    rng = random.Random(seed)
+    at = 0.0
+    call_id = 0
+    while (at := at + rng.expovariate(rate)) < _SECONDS:
+        call_id += 1
+        idempotent = rng.random() < 0.8
+        call = calls.Call(
+            call_id=call_id,
+            client_account="",
+            call_class=calls.CallClass.LOOKUP,
+            idempotent=idempotent,
+            hedge=idempotent,
+            arrived_at=at,
+            target_at=at + _TARGET_S,
+            deadline=at + _TIMEOUT_S,
+            route=_ROUTES[not idempotent],
+            max_attempts=2,
+        )
+        clock.at(at, rng.choice(nodes).arrive, call)
+    clock.run()
+    return [record for node in nodes for record in node.records.values()]
+
+
+def _in_time(records: list[fake_upstreams.Record]) -> int:
+    return sum(
+        record.outcome == "useful" and record.latency_s <= _TARGET_S
+        for record in records
+    )
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    ("plan", "rate"),
+    [
+        (_calm, _CALM_RATE),
+        (_calm, 2.2 * _CALM_RATE),
+        (_slow_host, _CALM_RATE),
+        (_spells, _CALM_RATE),
+        (_failing, _CALM_RATE),
+        (_frozen, _CALM_RATE),
+        (_lost_zone, _CALM_RATE),
+    ],
+)
+def test_serves_no_fewer_calls_in_time_than_round_robin(
+    plan: _Plan, rate: float, seed: int
+) -> None:
+    """Guards against decisions that do worse than none."""
+    edge = _run(plan=plan, seed=seed, rate=rate, edge=True)
+    plain = _run(plan=plan, seed=seed, rate=rate, edge=False)
+    assert len(edge) == len(plain)
+    assert all(record.outcome for record in edge)
+    assert _in_time(edge) >= _in_time(plain)
