Describe the methods of gRPC services by data classes

Change: GrpcServer takes methods as Unary or Stream and checks key and form of each message; agent_server and peer_server name the methods.

--- a/tanagerspoke/transport/agent_service.py
+++ b/tanagerspoke/transport/agent_service.py
@@ -47,7 +47,7 @@
         self._claims = claim_service.ClaimService(
             cfg=cfg.store, platform=self._platform, metrics=self._metrics
         )
-        self._server = grpc_agent.AgentServer(
+        self._server = grpc_agent.agent_server(
             listen=cfg.gateways,
             shared_key=cfg.shared_key,
             handler=self,
--- a/tanagerspoke/transport/peers/grpc_agent.py
+++ b/tanagerspoke/transport/peers/grpc_agent.py
@@ -1,9 +1,8 @@
 """gRPC between a gateway and the agent of its host."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Protocol
 
-import grpc
 import grpc.aio
 
 from tanagerspoke import exceptions
@@ -43,68 +42,36 @@
         """Takes what a gateway saw."""
 
 
-class AgentServer:
-    """Serves the gateways of this host."""
-
-    def __init__(
-        self,
-        *,
-        listen: options.Endpoint,
-        shared_key: str,
-        handler: AgentHandler,
-        tls: options.Tls | None = None,
-        on_refused: Callable[[str], None] = grpc_security.ignore_refusal,
-    ) -> None:
-        self._shared_key = shared_key
-        self._handler = handler
-        self._on_refused = on_refused
-        self._server = grpc_server.GrpcServer(
-            service=agent.SERVICE,
-            methods=self._methods(),
-            listen=listen,
-            tls=tls,
-        )
-
-    async def start(self) -> None:
-        """Opens the port."""
-        await self._server.start()
-
-    async def close(self) -> None:
-        """Closes the port; running calls get a short grace time."""
-        await self._server.close()
-
-    def _methods(self) -> dict[str, grpc.RpcMethodHandler]:
-        return {
-            "Subscribe": grpc.unary_stream_rpc_method_handler(self._subscribe),
-            "Claim": self._unary(_claim_decoder, self._handler.claim),
-            "Complete": self._unary(_complete_decoder, self._handler.complete),
-            "Observe": self._unary(_observe_decoder, self._handler.observe),
-        }
-
-    def _unary(
-        self,
-        decoder: codec.Decoder,
-        handle: Callable[[Any], Awaitable[Any]],
-    ) -> grpc.RpcMethodHandler:
-        return grpc_security.unary_handler(
-            shared_key=self._shared_key,
-            decoder=decoder,
-            handle=handle,
-            on_refused=self._on_refused,
-        )
-
-    async def _subscribe(
-        self, data: bytes, context: grpc.aio.ServicerContext
-    ) -> AsyncIterator[bytes]:
-        request = await grpc_security.accept(
-            data=data,
-            context=context,
-            shared_key=self._shared_key,
-            decoder=_subscribe_decoder,
-            on_refused=self._on_refused,
-        )
-        async for update in self._handler.subscribe(request):
-            yield codec.encode(update)
+def agent_server(
+    *,
+    listen: options.Endpoint,
+    shared_key: str,
+    handler: AgentHandler,
+    tls: options.Tls | None = None,
+    on_refused: Callable[[str], None] = grpc_security.ignore_refusal,
+) -> grpc_server.GrpcServer:
+    """Returns a closed server for the gateways of this host."""
+    return grpc_server.GrpcServer(
+        service=agent.SERVICE,
+        methods={
+            "Subscribe": grpc_server.Stream(
+                decoder=_subscribe_decoder, handle=handler.subscribe
+            ),
+            "Claim": grpc_server.Unary(
+                decoder=_claim_decoder, handle=handler.claim
+            ),
+            "Complete": grpc_server.Unary(
+                decoder=_complete_decoder, handle=handler.complete
+            ),
+            "Observe": grpc_server.Unary(
+                decoder=_observe_decoder, handle=handler.observe
+            ),
+        },
+        listen=listen,
+        shared_key=shared_key,
+        tls=tls,
+        on_refused=on_refused,
+    )
 
 
 class AgentClient:
--- a/tanagerspoke/transport/peers/grpc_peer.py
+++ b/tanagerspoke/transport/peers/grpc_peer.py
@@ -1,9 +1,8 @@
 """gRPC between the agents of entry hosts."""
 
-from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from collections.abc import Callable
+from typing import Protocol
 
-import grpc
 import grpc.aio
 
 from tanagerspoke import exceptions
@@ -39,63 +38,34 @@
         """Charges the bytes of a snapshot request and its answer."""
 
 
-class PeerServer:
-    """Serves the agents of other hosts."""
-
-    def __init__(
-        self,
-        *,
-        listen: options.Endpoint,
-        shared_key: str,
-        tls: options.Tls | None,
-        handler: PeerHandler,
-        on_refused: Callable[[str], None],
-    ) -> None:
-        self._shared_key = shared_key
-        self._handler = handler
-        self._on_refused = on_refused
-        self._server = grpc_server.GrpcServer(
-            service=peer.SERVICE,
-            methods=self._methods(),
-            listen=listen,
-            tls=tls,
-        )
-
-    async def start(self) -> None:
-        """Opens the port."""
-        await self._server.start()
-
-    async def close(self) -> None:
-        """Closes the port; running calls get a short grace time."""
-        await self._server.close()
-
-    def _methods(self) -> dict[str, grpc.RpcMethodHandler]:
-        return {
-            "Exchange": self._unary(
-                _heartbeat_decoder,
-                self._handler.exchange,
-                self._handler.count_exchange,
+def peer_server(
+    *,
+    listen: options.Endpoint,
+    shared_key: str,
+    tls: options.Tls | None,
+    handler: PeerHandler,
+    on_refused: Callable[[str], None],
+) -> grpc_server.GrpcServer:
+    """Returns a closed server for the agents of other hosts."""
+    return grpc_server.GrpcServer(
+        service=peer.SERVICE,
+        methods={
+            "Exchange": grpc_server.Unary(
+                decoder=_heartbeat_decoder,
+                handle=handler.exchange,
+                on_exchange=handler.count_exchange,
             ),
-            "FetchSnapshot": self._unary(
-                _request_decoder,
-                self._handler.fetch_snapshot,
-                self._handler.count_snapshot,
+            "FetchSnapshot": grpc_server.Unary(
+                decoder=_request_decoder,
+                handle=handler.fetch_snapshot,
+                on_exchange=handler.count_snapshot,
             ),
-        }
-
-    def _unary(
-        self,
-        decoder: codec.Decoder,
-        handle: Callable[[Any], Awaitable[Any]],
-        on_exchange: Callable[[int], None],
-    ) -> grpc.RpcMethodHandler:
-        return grpc_security.unary_handler(
-            shared_key=self._shared_key,
-            decoder=decoder,
-            handle=handle,
-            on_refused=self._on_refused,
-            on_exchange=on_exchange,
-        )
+        },
+        listen=listen,
+        shared_key=shared_key,
+        tls=tls,
+        on_refused=on_refused,
+    )
 
 
 class PeerClient:
--- a/tanagerspoke/transport/peers/grpc_security.py
+++ b/tanagerspoke/transport/peers/grpc_security.py
@@ -1,6 +1,6 @@
 """Shared key and mutual TLS of the gRPC services between our processes."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 import hmac
 import pathlib
 from typing import Any
@@ -100,44 +100,6 @@
         await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(exc))
 
 
-def unary_handler(
-    *,
-    shared_key: str,
-    decoder: codec.Decoder,
-    handle: Callable[[Any], Awaitable[Any]],
-    on_refused: Callable[[str], None],
-    on_exchange: Callable[[int], None] | None = None,
-) -> grpc.RpcMethodHandler:
-    """Returns a handler that checks the key and the message.
-
-    Args:
-        shared_key: what the caller's metadata must carry.
-        decoder: checks the request.
-        handle: gives the answer; a `ProtocolError` refuses the message.
-        on_refused: takes the reason of each refusal.
-        on_exchange: takes the bytes of request and answer.
-    """
-
-    async def handler(data: bytes, context: grpc.aio.ServicerContext) -> bytes:
-        request = await accept(
-            data=data,
-            context=context,
-            shared_key=shared_key,
-            decoder=decoder,
-            on_refused=on_refused,
-        )
-        try:
-            answer = codec.encode(await handle(request))
-        except exceptions.ProtocolError as exc:
-            on_refused(str(exc))
-            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(exc))
-        if on_exchange is not None:
-            on_exchange(len(data) + len(answer))
-        return answer
-
-    return grpc.unary_unary_rpc_method_handler(handler)
-
-
 def _read(path: str) -> bytes:
     try:
         return pathlib.Path(path).read_bytes()
--- a/tanagerspoke/transport/peers/peer_service.py
+++ b/tanagerspoke/transport/peers/peer_service.py
@@ -74,7 +74,7 @@
             rng=rng,
             now=time.monotonic(),
         )
-        self._server = grpc_peer.PeerServer(
+        self._server = grpc_peer.peer_server(
             listen=cfg.peers,
             shared_key=cfg.shared_key,
             tls=cfg.tls,
