Freeze and kill programs while their claims are held, not after a sleep

Ruled out: waiting for the claims of both hosts before freezing either: tried, it failed once beside load 14, because the first host's claims had committed by then. Change: each program is frozen or killed as soon as the table holds one of its claims. What is asserted is unchanged.

--- a/tests/processes/test_at_most_once.py
+++ b/tests/processes/test_at_most_once.py
@@ -116,6 +116,23 @@
     return {row.rpartition("/")[2] for row in rows}
 
 
+async def _wait_held(stack: stacks.Stack, keys: tuple[str, ...]) -> None:
+    """Waits until the table holds back a claim of one of the keys."""
+
+    async def is_held() -> bool:
+        return not (await _held(stack)).isdisjoint(keys)
+
+    await stacks.wait_until(is_held, "the table to hold a claim")
+
+
+async def _freeze_at_claim(
+    stack: stacks.Stack, name: str, keys: tuple[str, ...]
+) -> None:
+    """Freezes a program while the first claims of the keys are held."""
+    await _wait_held(stack, keys)
+    stack[name].freeze()
+
+
 async def _rows(stack: stacks.Stack) -> dict[str, claims.ClaimRow]:
     """Returns the claims in the table by key."""
     _, body = await stack.get(
@@ -202,11 +219,7 @@
     keys = _keys(f"before-{victim}", 10)
     await shared.faults("platform", table_delay_ms=600)
     firsts = [asyncio.create_task(oracle.send(key)) for key in keys]
-
-    async def is_held() -> bool:
-        return not (await _held(shared)).isdisjoint(keys)
-
-    await stacks.wait_until(is_held, "the table to hold a claim")
+    await _wait_held(shared, keys)
     shared[victim].kill()
     answers = await asyncio.gather(*firsts)
     assert {a.outcome for a in answers} <= {"lost", "not-run"}
@@ -289,10 +302,11 @@
         for host, own in zip(_HOSTS, keys, strict=True)
         for key in own
     ]
-    # The table holds each transaction for 600 ms, so this falls inside.
-    await asyncio.sleep(0.3)
-    shared["gateway-entry-1-1"].freeze()
-    shared["agent-entry-2"].freeze()
+    # Each at its own claims: those of the other may commit meanwhile.
+    await asyncio.gather(
+        _freeze_at_claim(shared, "gateway-entry-1-1", keys[0]),
+        _freeze_at_claim(shared, "agent-entry-2", keys[1]),
+    )
     # The test is about a pause that outlasts every timeout.
     await asyncio.sleep(_PAST_TIMEOUTS_S)
     shared["gateway-entry-1-1"].resume()
@@ -409,8 +423,7 @@
     keys = _keys("two-faults", 20)
     await shared.faults("platform", lose_table_answers=True, table_delay_ms=200)
     firsts = [asyncio.create_task(oracle.send(key)) for key in keys]
-    # The table holds each transaction for 200 ms, so this falls inside.
-    await asyncio.sleep(0.1)
+    await _wait_held(shared, keys)
     shared["agent-entry-1"].kill()
     answers = await asyncio.gather(*firsts)
     shared["agent-entry-1"].start()
@@ -431,9 +444,7 @@
         asyncio.create_task(oracle.send(key, deadline_ms=_SHORT_DEADLINE_MS))
         for key in keys
     ]
-    # The table holds each transaction for 400 ms, so this falls inside.
-    await asyncio.sleep(0.2)
-    shared["gateway-entry-1-1"].freeze()
+    await _freeze_at_claim(shared, "gateway-entry-1-1", keys)
     until = time.monotonic() + _PAST_TIMEOUTS_S
     while time.monotonic() < until:
         await asyncio.gather(
