Log load reports that cannot be read

Cause: a malformed load header counted as no report without a line; on-call could not tell a faulty upstream from one that tells no load. Ruled out: refusing the answer: it may be whole and signed. Result: test_malformed_load_report_is_told fails before and passes after. No decision changes.

--- a/tanagerspoke/platform/headers.py
+++ b/tanagerspoke/platform/headers.py
@@ -117,10 +117,10 @@
             return None
         try:
             figures = [int(part) for part in value.split(",")]
-        except ValueError:
-            return None
+        except ValueError as exc:
+            raise exceptions.ProtocolError(f"load header {value!r}") from exc
         if len(figures) < 3 or min(figures) < 0 or figures[2] < 1:
-            return None
+            raise exceptions.ProtocolError(f"load header {value!r}")
         running, waiting, slots = figures[:3]
         work_time = figures[3] if len(figures) > 3 else _USUAL_WORK_TIME
         return upstreams.LoadReport(
--- a/tanagerspoke/protocol/headers.py
+++ b/tanagerspoke/protocol/headers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection, Iterable
 
+from tanagerspoke import exceptions
 from tanagerspoke.protocol import upstreams
 
 Headers = tuple[tuple[str, str], ...]
@@ -51,9 +52,10 @@
 
 
 def parse_load(value: str | None) -> upstreams.LoadReport | None:
-    """Returns the report of a load header, or None where it is malformed.
+    """Returns the report of a load header, or None where there is none.
 
-    A malformed report counts as no report, since upstreams may mislead.
+    Raises:
+        ProtocolError: the header is malformed.
     """
     if not value:
         return None
@@ -64,10 +66,10 @@
             slots=int(fields["slots"]),
             phase=upstreams.UpstreamPhase(fields.get("phase", "ready")),
         )
-    except (KeyError, ValueError):
-        return None
+    except (KeyError, ValueError) as exc:
+        raise exceptions.ProtocolError(f"load header {value!r}") from exc
     if report.in_flight < 0 or report.slots < 1:
-        return None
+        raise exceptions.ProtocolError(f"load header {value!r}")
     return report
 
 
--- a/tanagerspoke/transport/store/probe_service.py
+++ b/tanagerspoke/transport/store/probe_service.py
@@ -8,6 +8,7 @@
 import aiohttp
 import mode
 
+from tanagerspoke import exceptions
 from tanagerspoke.coordination import budget
 from tanagerspoke.coordination import probing
 from tanagerspoke.protocol import agent
@@ -117,6 +118,12 @@
                 if resp.status != 200:
                     return None
                 return headers.parse_load(resp.headers.get(headers.LOAD))
+        except exceptions.ProtocolError as exc:
+            log.warning(
+                "load_report_malformed",
+                extra={"upstream": upstream.upstream_id, "error": str(exc)},
+            )
+            return None
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             log.debug(
                 "probe_failed",
--- a/tanagerspoke/transport/upstreams/upstream_client.py
+++ b/tanagerspoke/transport/upstreams/upstream_client.py
@@ -33,6 +33,9 @@
 # Generous, since each late or lost reply names a client account that may have
 # to be told; the counters count all of them.
 _REPLY_LINES_PER_S = 100.0
+# A faulty upstream spoils each of its reports.
+_LOAD_LINES_PER_S = 1.0
+_LOAD_LINES_BURST = 20
 _REPLY_LINES_BURST = 1000
 
 
@@ -246,7 +249,7 @@
     def _finish(self) -> None:
         conn = self.conn
         head = conn.reader.head
-        load = self.dialect.load(head)
+        load = self._load(head)
         not_run = self.dialect.not_run(head)
         if not_run is not None:
             ended = Ended(result=not_run, load=load)
@@ -269,6 +272,15 @@
             self._stream.finish()
         self._end(ended)
 
+    def _load(self, head: Any) -> upstreams.LoadReport | None:
+        try:
+            return self.dialect.load(head)
+        except exceptions.ProtocolError as exc:
+            # The answer itself may be whole; the upstream counts as one that
+            # told nothing.
+            self._client.note_malformed_load(self, exc)
+            return None
+
     def _passed_on(self, head: Any) -> headers.Headers:
         return headers.end_to_end(
             head.headers.items(), dropped=self.dialect.dropped_headers
@@ -290,7 +302,7 @@
         conn = self.conn
         load = None
         if conn is not None and conn.reader.head is not None:
-            load = self.dialect.load(conn.reader.head)
+            load = self._load(conn.reader.head)
         if isinstance(result, calls.TimedOut) and self._stream is None:
             self.watched = True
             self._parts.clear()
@@ -343,6 +355,11 @@
         self._late_log = _reply_log("late_reply")
         self._lost_log = _reply_log("lost_reply")
         self._crossed_log = _reply_log("crossed_reply")
+        self._load_log = log_limit.LogLimit(
+            event="load_report_malformed",
+            rate_per_s=_LOAD_LINES_PER_S,
+            burst=_LOAD_LINES_BURST,
+        )
         self._on_late = on_late
         self._on_lost = on_lost
 
@@ -442,6 +459,16 @@
         """Notes that a watched exchange's connection broke."""
         self._handle_reply(replies.WatchBroke(exchange_id=exchange.exchange_id))
 
+    def note_malformed_load(
+        self, exchange: Exchange, exc: exceptions.ProtocolError
+    ) -> None:
+        """Notes an answer whose load report cannot be read."""
+        if self._load_log.allows(exchange.upstream.upstream_id):
+            log.warning(
+                "load_report_malformed",
+                extra=_describe(_expected(exchange)) | {"error": str(exc)},
+            )
+
     def note_broke(self, exchange: Exchange) -> None:
         """Notes that a reply was lost before its deadline."""
         self._handle_reply(replies.ExchangeBroke(expected=_expected(exchange)))
--- a/tanagerspoke/transport/upstreams/upstream_dialect.py
+++ b/tanagerspoke/transport/upstreams/upstream_dialect.py
@@ -88,7 +88,11 @@
     def load(
         self, head: aiohttp_http.RawResponseMessage
     ) -> upstreams.LoadReport | None:
-        """Returns the load report of an answer, or None."""
+        """Returns the load report of an answer, or None.
+
+        Raises:
+            ProtocolError: the report is malformed.
+        """
 
 
 class OwnDialect(UpstreamDialect):
--- a/tests/transport/upstreams/test_upstream_client.py
+++ b/tests/transport/upstreams/test_upstream_client.py
@@ -307,3 +307,21 @@
     async with harness.serving(once(lambda i: whole(i, b"x" * 5000))):
         ended = await harness.run(hold_bytes=1024, may_stream=False)
     assert ended.result == calls.Broken()
+
+
+async def test_malformed_load_report_is_told(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against an upstream that silently counts as one without load."""
+    answer = once(lambda sent: whole(sent, extra="Tanagerspoke-Load: many\r\n"))
+    harness = Harness()
+    async with harness.serving(answer):
+        with caplog.at_level("WARNING"):
+            ended = await harness.run("r1")
+    assert isinstance(ended.result, calls.Answered)
+    assert ended.load is None
+    (record,) = [
+        r for r in caplog.records if r.message == "load_report_malformed"
+    ]
+    assert (record.request_id, record.upstream) == ("r1", "u1")
+    assert "many" in record.error
