Refuse a malformed deadline on the users' platform

Cause: a deadline that is no whole number counted as none, without a line: the call could outlast its caller. Change: 400 malformed_deadline, as for the product's own callers. Absent deadlines still mean the route's time-out. Result: the new case of test_bad_requests_never_reach_a_worker fails before (200) and passes after.

--- a/tanagerspoke/platform/headers.py
+++ b/tanagerspoke/platform/headers.py
@@ -203,8 +203,17 @@
 
 
 def _deadline_s(message: aiohttp_http.RawRequestMessage) -> float | None:
-    """Returns the seconds that the caller waits, or None where not stated."""
-    value = message.headers.get(DEADLINE_MS, "")
-    if not value.isascii() or not value.isdecimal():
+    """Returns the seconds that the caller waits, or None where not stated.
+
+    Raises:
+        CallRefusedError: the header is malformed.
+    """
+    value = message.headers.get(DEADLINE_MS)
+    if value is None:
         return None
+    if not value.isascii() or not value.isdecimal():
+        raise exceptions.CallRefusedError(
+            code=errors.ErrorCode.MALFORMED_DEADLINE,
+            message=f"header {DEADLINE_MS} must be a whole number",
+        )
     return int(value) / 1000
--- a/tests/transport/test_edge_service.py
+++ b/tests/transport/test_edge_service.py
@@ -269,6 +269,11 @@
             b"X-Attempt-Id: q1\r\nContent-Length: 20000\r\n\r\n",
             413,
         ),
+        (
+            b"GET /read/x HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Attempt-Id: q1\r\nX-Deadline-Ms: soon\r\n\r\n",
+            400,
+        ),
         (
             b"GET /read/x HTTP/1.1\r\nHost: shop.example\r\n"
             b"X-Attempt-Id: q1\r\nX-Long: " + b"x" * 8000 + b"\r\n\r\n",
