Bound the memory of upstreams that left

Cause: the listing kept the last report of every upstream that ever left; a node's memory grew with each restart of a worker. Ruled out: forgetting at once: a delayed report would bring an upstream back. Result: test_memory_of_upstreams_that_left_is_bounded fails before and passes after.

--- a/tanagerspoke/coordination/upstream_listing.py
+++ b/tanagerspoke/coordination/upstream_listing.py
@@ -15,6 +15,9 @@
 # Where more than this share of a service's entries is missing after a failure
 # of the store, they lapsed in an outage; fewer of them have left.
 _LAPSED_SHARE = 0.5
+# Upstreams that left and are remembered: twenty days of the 190 restarts that
+# a day brings at the size to design for; reports are late by minutes at most.
+_MAX_GONE = 4096
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,6 +88,11 @@
         """Entries that are missing and held for some time."""
         return len(self._held)
 
+    @property
+    def gone_count(self) -> int:
+        """Upstreams that left and are remembered."""
+        return len(self._gone)
+
     @property
     def next_wakeup(self) -> float | None:
         """Time at which `expire` may remove an entry, or None."""
@@ -174,4 +182,8 @@
 
     def _forget(self, upstream_id: str) -> None:
         del self._entries[upstream_id]
+        # Newest last, also for an id that left before.
+        self._gone.pop(upstream_id, None)
         self._gone[upstream_id] = self._orders.pop(upstream_id)
+        if len(self._gone) > _MAX_GONE:
+            del self._gone[next(iter(self._gone))]
--- a/tests/coordination/test_upstream_listing.py
+++ b/tests/coordination/test_upstream_listing.py
@@ -75,6 +75,20 @@
     assert _names(found) == {"u1"}
 
 
+def test_memory_of_upstreams_that_left_is_bounded() -> None:
+    """Guards against a node that grows with every restart of a worker."""
+    found = upstream_listing.UpstreamListing()
+    position = 0
+    for number in range(5000):
+        position += 2
+        found.take(_changes(position, _entry(f"u{number}")), 0.0)
+        found.take(_removed(position + 1, f"u{number}"), 0.0)
+    assert found.gone_count == 4096
+    # The latest ones are those whose reports may still be on their way.
+    late = _changes(position + 2, _entry("u4999"), _entry("u904"))
+    assert not found.take(late, 0.0)
+
+
 def test_unreadable_row_leaves_the_last_entry_in_force() -> None:
     """Guards against a forged row that takes an upstream out of use."""
     found = upstream_listing.UpstreamListing()
