--- a/tanagerspoke/transport/operations/duration_histogram.py
+++ b/tanagerspoke/transport/operations/duration_histogram.py
@@ -3,6 +3,7 @@
 import bisect
 from collections.abc import Iterator
 
+import prometheus_client
 from prometheus_client import core
 from prometheus_client import utils
 
@@ -28,7 +29,7 @@
 
 
 class DurationHistogram:
-    """Collector of a histogram; its children are bound once."""
+    """Registered collector of a histogram; its children are bound once."""
 
     def __init__(
         self,
@@ -37,12 +38,14 @@
         documentation: str,
         labels: tuple[str, ...],
         bounds_s: tuple[float, ...],
+        registry: prometheus_client.CollectorRegistry,
     ) -> None:
         self._name = name
         self._documentation = documentation
         self._labels = labels
         self._bounds_s = bounds_s
         self._children: dict[tuple[str, ...], DurationChild] = {}
+        registry.register(self)
 
     def labels(self, *values: str) -> DurationChild:
         """Returns the child of these label values."""
--- a/tanagerspoke/transport/operations/edge_metrics.py
+++ b/tanagerspoke/transport/operations/edge_metrics.py
@@ -90,6 +90,11 @@
             prometheus_client.Counter, registry=registry
         )
         gauge = functools.partial(prometheus_client.Gauge, registry=registry)
+        histogram = functools.partial(
+            duration_histogram.DurationHistogram,
+            bounds_s=_BUCKETS_S,
+            registry=registry,
+        )
         self._call_log = log_limit.LogLimit(
             event="call",
             rate_per_s=_CALL_LINES_PER_S,
@@ -103,20 +108,16 @@
             "Calls by whether they were answered within their target",
             ("route", "met"),
         )
-        self._duration = duration_histogram.DurationHistogram(
+        self._duration = histogram(
             name="tanagerspoke_edge_call_duration_seconds",
             documentation="Time from headers to the last byte of the answer",
             labels=("route",),
-            bounds_s=_BUCKETS_S,
         )
-        registry.register(self._duration)
-        self._attempt_duration = duration_histogram.DurationHistogram(
+        self._attempt_duration = histogram(
             name="tanagerspoke_edge_attempt_duration_seconds",
             documentation="Time from sending to the end of an attempt",
             labels=("service", "result"),
-            bounds_s=_BUCKETS_S,
         )
-        registry.register(self._attempt_duration)
         self._hedges = counter(
             "tanagerspoke_edge_hedges",
             "Second attempts beside others",
@@ -137,14 +138,12 @@
             "Calls to the platform's store",
             ("result",),
         )
-        self._queue_wait = duration_histogram.DurationHistogram(
+        self._queue_wait = histogram(
             name="tanagerspoke_edge_queue_wait_seconds",
             documentation="Time from headers to the first attempt",
             labels=("service",),
-            bounds_s=_BUCKETS_S,
         )
-        registry.register(self._queue_wait)
-        self._added_latency = duration_histogram.DurationHistogram(
+        self._added_latency = histogram(
             name="tanagerspoke_edge_added_latency_seconds",
             documentation=(
                 "Duration of an answered call beyond the attempt that was"
@@ -153,7 +152,6 @@
             labels=("route",),
             bounds_s=_ADDED_BUCKETS_S,
         )
-        registry.register(self._added_latency)
         self._control_bytes = _ControlBytes()
         registry.register(self._control_bytes)
         self._retries = counter(
--- a/tanagerspoke/transport/operations/metrics.py
+++ b/tanagerspoke/transport/operations/metrics.py
@@ -107,8 +107,8 @@
             documentation="Time from headers to the last byte of the answer",
             labels=("service", "call_class"),
             bounds_s=_BUCKETS_S,
+            registry=registry,
         )
-        registry.register(self.duration)
         self._late = counter(
             "tanagerspoke_late_replies",
             "Replies after the deadline",
