Group upstreams by service in one place

Cause: edge and gateway grouped the listed upstreams with the same loop. Change: upstreams.by_service, which both call. No behaviour changes.

--- a/tanagerspoke/protocol/upstreams.py
+++ b/tanagerspoke/protocol/upstreams.py
@@ -1,5 +1,7 @@
 """Upstreams and the load reports that they send."""
 
+import collections
+from collections.abc import Iterable
 import dataclasses
 import enum
 
@@ -46,3 +48,11 @@
     slots: int
     phase: UpstreamPhase = UpstreamPhase.READY
     host_slowness: float = 1.0
+
+
+def by_service(listed: Iterable[Upstream]) -> dict[str, tuple[Upstream, ...]]:
+    """Returns the upstreams of each service, in the order of the list."""
+    found: dict[str, list[Upstream]] = collections.defaultdict(list)
+    for upstream in listed:
+        found[upstream.service].append(upstream)
+    return {service: tuple(members) for service, members in found.items()}
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -1,6 +1,5 @@
 """The edge: serves callers by routes that are followed in a store."""
 
-import collections
 from collections.abc import Callable
 import dataclasses
 import functools
@@ -250,15 +249,8 @@
         )
 
     def _take_upstreams(self, listed: tuple[upstreams.Upstream, ...]) -> None:
-        by_service: dict[str, list[upstreams.Upstream]] = (
-            collections.defaultdict(list)
-        )
-        for upstream in listed:
-            by_service[upstream.service].append(upstream)
         before = self._upstreams
-        self._upstreams = {
-            name: tuple(members) for name, members in by_service.items()
-        }
+        self._upstreams = upstreams.by_service(listed)
         self._upstreams_known = True
         for name in before.keys() | self._upstreams.keys():
             self._log_changes(
--- a/tanagerspoke/transport/gateway_service.py
+++ b/tanagerspoke/transport/gateway_service.py
@@ -1,7 +1,6 @@
 """The gateway: joins caller server, schedulers and agent client."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 import functools
 import hashlib
@@ -196,14 +195,7 @@
             limiter.set_gateways(self._gateways)
 
     def _take_upstreams(self, listed: tuple[upstreams.Upstream, ...]) -> None:
-        by_service: dict[str, list[upstreams.Upstream]] = (
-            collections.defaultdict(list)
-        )
-        for upstream in listed:
-            by_service[upstream.service].append(upstream)
-        self._upstreams = {
-            name: tuple(members) for name, members in by_service.items()
-        }
+        self._upstreams = upstreams.by_service(listed)
         self._service_of = {u.upstream_id: u.service for u in listed}
         for name, service in self._dispatchers.items():
             service.set_upstreams(self._upstreams.get(name, ()))
