Check gRPC messages in the server that takes them

Cause: since the server takes methods as data classes, grpc_security.accept had one caller, which only passed five arguments on. Change: GrpcServer checks key and form itself; grpc_security keeps the comparison of the key. No behaviour changes.

--- a/tanagerspoke/transport/peers/grpc_security.py
+++ b/tanagerspoke/transport/peers/grpc_security.py
@@ -1,15 +1,12 @@
 """Shared key and mutual TLS of the gRPC services between our processes."""
 
-from collections.abc import Callable
 import hmac
 import pathlib
-from typing import Any
 
 import grpc
 import grpc.aio
 
 from tanagerspoke import exceptions
-from tanagerspoke.protocol import codec
 from tanagerspoke.settings import options
 
 _KEY_METADATA = "tanagerspoke-key"
@@ -77,27 +74,11 @@
     )
 
 
-async def accept(
-    *,
-    data: bytes,
-    context: grpc.aio.ServicerContext,
-    shared_key: str,
-    decoder: codec.Decoder,
-    on_refused: Callable[[str], None],
-) -> Any:
-    """Returns the checked message, or aborts the call."""
+def has_key(context: grpc.aio.ServicerContext, shared_key: str) -> bool:
+    """Returns whether a call's metadata carries the shared key."""
     sent = dict(context.invocation_metadata() or ())
     given = str(sent.get(_KEY_METADATA, ""))
-    if not hmac.compare_digest(given.encode(), shared_key.encode()):
-        on_refused("shared_key")
-        await context.abort(
-            grpc.StatusCode.UNAUTHENTICATED, "shared key is missing or wrong"
-        )
-    try:
-        return decoder.decode(data)
-    except exceptions.ProtocolError as exc:
-        on_refused("malformed")
-        await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(exc))
+    return hmac.compare_digest(given.encode(), shared_key.encode())
 
 
 def _read(path: str) -> bytes:
--- a/tanagerspoke/transport/peers/grpc_server.py
+++ b/tanagerspoke/transport/peers/grpc_server.py
@@ -140,10 +140,15 @@
         data: bytes,
         context: grpc.aio.ServicerContext,
     ) -> Any:
-        return await grpc_security.accept(
-            data=data,
-            context=context,
-            shared_key=self._shared_key,
-            decoder=decoder,
-            on_refused=self._on_refused,
-        )
+        """Returns the checked message, or aborts the call."""
+        if not grpc_security.has_key(context, self._shared_key):
+            self._on_refused("shared_key")
+            await context.abort(
+                grpc.StatusCode.UNAUTHENTICATED,
+                "shared key is missing or wrong",
+            )
+        try:
+            return decoder.decode(data)
+        except exceptions.ProtocolError as exc:
+            self._on_refused("malformed")
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(exc))
