--- a/tanagerspoke/coordination/balancing.py
+++ b/tanagerspoke/coordination/balancing.py
@@ -153,7 +153,9 @@
     accept: Callable[[loads.UpstreamLoad], bool] | None,
 ) -> bool:
     """Returns whether this process may not send the upstream a call now."""
-    if record.local_in_flight >= record.slots or record.ejected_until > now:
+    if record.local_in_flight >= record.slots:
+        return True
+    if record.ejected_until > now or record.paused_until > now:
         return True
     if (
         record.ramp_starts_at is not None
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -8,6 +8,7 @@
 from tanagerspoke.coordination import probe_rounds
 from tanagerspoke.coordination import retries
 from tanagerspoke.coordination import retry_budget
+from tanagerspoke.coordination import return_times
 from tanagerspoke.coordination import route_statistics
 from tanagerspoke.coordination import target_queue
 from tanagerspoke.protocol import calls
@@ -105,6 +106,7 @@
         )
         self._statistics = route_statistics.RouteStatistics(view=self._view)
         self._queue = target_queue.TargetQueue()
+        self._return_times = return_times.ReturnTimes()
         self._calls = call_attempts.OpenCalls()
         self._local_in_flight = 0
         self._recheck_at: float | None = None
@@ -132,23 +134,63 @@
         self, *, call: calls.Call, now: float
     ) -> calls.Refuse | None:
         """Returns the refusal that the call would get now, or None."""
-        if not self._view.eligible:
-            return _refusal(
-                call, errors.ErrorCode.NO_UPSTREAM, _NO_UPSTREAM_RETRY_AFTER_S
-            )
         if now >= call.deadline:
-            return _refusal(call, errors.ErrorCode.QUEUE_TIMEOUT, 0.0)
+            return self._refusal(call, errors.ErrorCode.QUEUE_TIMEOUT, now)
+        code = self._unservable_code(call, now)
+        if code is not None:
+            return self._refusal(call, code, now)
         limit = max(
             _MIN_QUEUE_LIMIT, _MAX_QUEUED_PER_SLOT * self._view.total_slots
         )
         if len(self._queue) >= limit:
-            return _refusal(
-                call,
-                errors.ErrorCode.QUEUE_FULL,
-                self._expected_wait_s(call),
-            )
+            return self._refusal(call, errors.ErrorCode.QUEUE_FULL, now)
         return None
 
+    def _unservable_code(
+        self, call: calls.Call, now: float
+    ) -> errors.ErrorCode | None:
+        """Returns why no upstream will accept the call in time, or None."""
+        if not self._view.eligible:
+            return errors.ErrorCode.NO_UPSTREAM
+        paused_until = self._view.paused_until(now)
+        if paused_until is not None and paused_until > self._latest_start_at(
+            call
+        ):
+            return errors.ErrorCode.UPSTREAM_SHED
+        return None
+
+    def _latest_start_at(self, call: calls.Call) -> float:
+        expected_s = self._statistics.quantile_s(
+            call, _EXPECTED_DURATION_QUANTILE
+        )
+        return (call.target_at or call.deadline) - expected_s
+
+    def _refusal(
+        self, call: calls.Call, code: errors.ErrorCode, now: float
+    ) -> calls.Refuse:
+        return calls.Refuse(
+            call_id=call.call_id,
+            code=code,
+            retry_after_s=self._return_delay_s(call, now),
+        )
+
+    def _return_delay_s(self, call: calls.Call, now: float) -> float:
+        """Returns the delay after which a refused caller may return."""
+        if not self._view.eligible:
+            first_at = now + _NO_UPSTREAM_RETRY_AFTER_S
+        else:
+            first_at = self._view.paused_until(now) or (
+                now + self._expected_wait_s(call)
+            )
+        delay_s = self._return_times.next_delay_s(
+            priority=call.priority,
+            first_at=first_at,
+            interval_s=self._expected_interval_s(call),
+            now=now,
+        )
+        # The random factor separates the callers of different nodes.
+        return max(_MIN_RETRY_AFTER_S, delay_s) * self._rng.uniform(1.0, 1.2)
+
     def handle(
         self, *, event: calls.SchedulerEvent, now: float
     ) -> list[calls.SchedulerAction]:
@@ -167,6 +209,8 @@
                 self._view.set_upstreams(listed=changed, now=now)
             case calls.DrainMarked(upstream_id=upstream_id):
                 self._view.mark_draining(upstream_id)
+            case calls.NoticeReceived(upstream_id=upstream_id, notice=notice):
+                self._view.apply_notice(upstream_id, notice, now)
             case calls.LoadReported(upstream_id=upstream_id, load=load):
                 self._apply_report(upstream_id, load, now)
             case calls.ProbeEnded():
@@ -180,11 +224,12 @@
         now: float,
         actions: list[calls.SchedulerAction],
     ) -> None:
-        self._budget.count_call(now)
         refusal = self.would_refuse(call=call, now=now)
         if refusal is not None:
             actions.append(refusal)
             return
+        # A refused call adds no load, so it allows no further attempts.
+        self._budget.count_call(now)
         state = self._calls.add(call)
         self._enqueue(state, now)
 
@@ -193,10 +238,8 @@
         state.queued = True
         state.queued_at = now
         target_at = call.target_at or call.deadline
-        expected_s = self._statistics.quantile_s(
-            call, _EXPECTED_DURATION_QUANTILE
-        )
-        latest_start_at = target_at - expected_s
+        latest_start_at = self._latest_start_at(call)
+        expected_s = target_at - latest_start_at
         late_wait_s = _MAX_LATE_WAIT_SHARE * (target_at - call.arrived_at)
         self._queue.push(
             target_queue.QueuedCall(
@@ -397,7 +440,7 @@
             return
         if state.streaming_attempt is None and self._retry(state, result, now):
             return
-        self._end_unsuccessfully(state, actions)
+        self._end_unsuccessfully(state, now, actions)
 
     def _retry(
         self,
@@ -422,6 +465,7 @@
     def _end_unsuccessfully(
         self,
         state: call_attempts.CallState,
+        now: float,
         actions: list[calls.SchedulerAction],
     ) -> None:
         """Ends a call that has no attempt in flight and no success."""
@@ -430,10 +474,7 @@
             actions.append(ended)
             return
         code = state.not_run_code or errors.ErrorCode.QUEUE_TIMEOUT
-        wait_s = self._expected_wait_s(state.call)
-        actions.append(
-            _refusal(state.call, code, self._jittered_retry_after_s(wait_s))
-        )
+        actions.append(self._refusal(state.call, code, now))
 
     def _handle_disconnect(
         self, call_id: int, actions: list[calls.SchedulerAction]
@@ -456,13 +497,27 @@
         for queued_call in self._queue.pop_expired(now):
             state = self._calls[queued_call.call.call_id]
             state.queued = False
-            self._end_unsuccessfully(state, actions)
+            self._end_unsuccessfully(state, now, actions)
+        self._refuse_unservable(now, actions)
         if len(self._queue):
             self._dispatch_queued(now, actions)
         self._recheck_at = (
             now + _RECHECK_INTERVAL_S if len(self._queue) else None
         )
 
+    def _refuse_unservable(
+        self, now: float, actions: list[calls.SchedulerAction]
+    ) -> None:
+        """Refuses queued calls that no upstream will accept in time."""
+        for state in self._queued_states():
+            code = self._unservable_code(state.call, now)
+            if code is None:
+                continue
+            self._queue.remove(state.call.call_id)
+            state.queued = False
+            state.not_run_code = code
+            self._end_unsuccessfully(state, now, actions)
+
     def _dispatch_queued(
         self, now: float, actions: list[calls.SchedulerAction]
     ) -> None:
@@ -490,7 +545,9 @@
         records = [
             r
             for r in self._view.eligible
-            if r.local_in_flight < r.slots and r.ejected_until <= now
+            if r.local_in_flight < r.slots
+            and r.ejected_until <= now
+            and r.paused_until <= now
         ]
         self._rng.shuffle(records)
         records.sort(key=lambda r: r.local_in_flight)
@@ -574,20 +631,11 @@
         return max(call.target_at or call.deadline, started_at + min_elapsed_s)
 
     def _expected_wait_s(self, call: calls.Call) -> float:
-        parallel = max(1, self._local_in_flight)
-        return (
-            len(self._queue) * self._statistics.quantile_s(call, 0.5) / parallel
-        )
-
-    def _jittered_retry_after_s(self, wait_s: float) -> float:
-        # Random, so that refused callers don't all retry at the same time.
-        wait_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s))
-        return wait_s * self._rng.uniform(1.0, 1.5)
+        """Returns the time in which the queue is expected to be served."""
+        wait_s = len(self._queue) * self._expected_interval_s(call)
+        return min(_MAX_RETRY_AFTER_S, wait_s)
 
-
-def _refusal(
-    call: calls.Call, code: errors.ErrorCode, retry_after_s: float
-) -> calls.Refuse:
-    return calls.Refuse(
-        call_id=call.call_id, code=code, retry_after_s=retry_after_s
-    )
+    def _expected_interval_s(self, call: calls.Call) -> float:
+        """Returns the expected time between two starts of calls."""
+        parallel = max(1, self._local_in_flight)
+        return self._statistics.quantile_s(call, 0.5) / parallel
--- a/tanagerspoke/coordination/upstream_listing.py
+++ b/tanagerspoke/coordination/upstream_listing.py
@@ -10,6 +10,7 @@
 
 from tanagerspoke.protocol import listing
 from tanagerspoke.protocol import upstreams
+from tanagerspoke.protocol import zone_feed
 
 # Time after the store's recovery within which upstreams write their lapsed
 # entries again.
@@ -21,6 +22,8 @@
 # Maximum number of removed upstreams to remember. At 190 restarts a day, the
 # design size, this covers about 20 days; reports are minutes late at most.
 _MAX_REMOVED = 4096
+# Leaving upstreams in a message to other nodes.
+_MAX_SENT_LEAVING = 256
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -45,6 +48,9 @@
         # Newest reports of removed upstreams, so that a delayed report cannot
         # add an upstream again after it left.
         self._removed: dict[str, _ReportOrder] = {}
+        # Start times of upstreams that stated in a response that they are
+        # leaving, by id, in the order in which this became known.
+        self._leaving_started_ms: dict[str, int] = {}
         self._position = -1
         self._held_until: dict[str, float] = {}
         self._grace_ends_at = 0.0
@@ -66,6 +72,43 @@
         """Position in the store's change history that the entries reflect."""
         return self._position
 
+    @property
+    def leaving(self) -> tuple[zone_feed.LeavingUpstream, ...]:
+        """Upstreams that stated most recently that they are leaving."""
+        recent = list(self._leaving_started_ms.items())[-_MAX_SENT_LEAVING:]
+        return tuple(
+            zone_feed.LeavingUpstream(upstream_id=upstream_id, started_ms=at)
+            for upstream_id, at in recent
+        )
+
+    def mark_leaving(self, upstream: zone_feed.LeavingUpstream) -> bool:
+        """Records that an upstream stated that it is leaving.
+
+        This holds until its next start, whatever its entry says. Returns False
+        if it was known.
+        """
+        upstream_id = upstream.upstream_id
+        known = self._leaving_started_ms.pop(upstream_id, -1)
+        self._leaving_started_ms[upstream_id] = max(known, upstream.started_ms)
+        if len(self._leaving_started_ms) > _MAX_REMOVED:
+            oldest = next(iter(self._leaving_started_ms))
+            del self._leaving_started_ms[oldest]
+        entry = self._entries.get(upstream_id)
+        if entry is not None:
+            self._entries[upstream_id] = self._with_leaving(entry)
+        return known < upstream.started_ms
+
+    def _with_leaving(
+        self, entry: listing.ListedUpstream
+    ) -> listing.ListedUpstream:
+        upstream = entry.upstream
+        leaving_ms = self._leaving_started_ms.get(upstream.upstream_id)
+        if leaving_ms is None or upstream.started_ms > leaving_ms:
+            return entry
+        return dataclasses.replace(
+            entry, upstream=dataclasses.replace(upstream, leaving=True)
+        )
+
     def apply_snapshot(
         self, entries: tuple[listing.ListedUpstream, ...], *, position: int
     ) -> bool:
@@ -180,6 +223,7 @@
         self._orders[upstream_id] = order
         self._held_until.pop(upstream_id, None)
         previous = self._entries.get(upstream_id)
+        entry = self._with_leaving(entry)
         self._entries[upstream_id] = entry
         return previous is None or previous.upstream != entry.upstream
 
--- a/tanagerspoke/platform/headers.py
+++ b/tanagerspoke/platform/headers.py
@@ -20,6 +20,8 @@
 SIGNATURE = "X-Response-Signature"
 NOT_RUN = "X-Not-Executed"
 LOAD = "X-Server-Load"
+# `1` in all responses of a worker that is leaving.
+LEAVING = "Server-Leaving"
 
 _WRONG_UPSTREAM_STATUS = 421
 # Sent in `Retry-After` when a refusal does not specify a delay.
@@ -27,6 +29,11 @@
 # A load header has the numbers of running and waiting calls and of slots, and
 # optionally the current work time in percent of the usual one.
 _USUAL_WORK_TIME_PERCENT = 100
+# Larger numbers are a faulty report.
+_MAX_LOAD_NUMBER = 1_000_000
+_MAX_LOGGED_LENGTH = 100
+# Digits of a deadline in milliseconds: 11 days.
+_MAX_DEADLINE_DIGITS = 9
 _DROPPED_REQUEST_HEADERS = headers.HOP_BY_HOP | {
     name.lower()
     for name in ("Host", "Expect", REQUEST_ID, DEADLINE_MS, EXPECTED_UPSTREAM)
@@ -92,7 +99,7 @@
         if head.code == _WRONG_UPSTREAM_STATUS:
             return calls.WrongUpstream()
         if NOT_RUN in head.headers:
-            return calls.Shed()
+            return calls.Shed(retry_after_s=_requested_pause_s(head))
         return None
 
     def find_defect(
@@ -121,10 +128,17 @@
             numbers = [int(part) for part in value.split(",")]
         except ValueError as exc:
             raise exceptions.ProtocolError(
-                f"malformed load header {value!r}"
+                f"malformed load header {value[:_MAX_LOGGED_LENGTH]!r}"
             ) from exc
-        if len(numbers) < 3 or min(numbers) < 0 or numbers[2] < 1:
-            raise exceptions.ProtocolError(f"malformed load header {value!r}")
+        if (
+            len(numbers) < 3
+            or min(numbers) < 0
+            or max(numbers) > _MAX_LOAD_NUMBER
+            or numbers[2] < 1
+        ):
+            raise exceptions.ProtocolError(
+                f"malformed load header {value[:_MAX_LOGGED_LENGTH]!r}"
+            )
         running, waiting, slots = numbers[:3]
         work_time_percent = (
             numbers[3] if len(numbers) > 3 else _USUAL_WORK_TIME_PERCENT
@@ -135,6 +149,28 @@
             host_slowness=max(1, work_time_percent) / _USUAL_WORK_TIME_PERCENT,
         )
 
+    def notice(
+        self, head: aiohttp_http.RawResponseMessage
+    ) -> upstreams.Notice | None:
+        """Implements `UpstreamDialect`.
+
+        A response of another worker at the address states nothing about the
+        expected one.
+        """
+        if head.code == _WRONG_UPSTREAM_STATUS:
+            return None
+        leaving = head.headers.get(LEAVING) == "1"
+        pause_s = _requested_pause_s(head)
+        if not leaving and pause_s is None:
+            return None
+        return upstreams.Notice(leaving=leaving, pause_s=pause_s)
+
+
+def _requested_pause_s(head: aiohttp_http.RawResponseMessage) -> float | None:
+    if head.code != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return None
+    return headers.parse_retry_after(head.headers.get("Retry-After"))
+
 
 class PlatformCallerDialect(caller_calls.CallerDialect):
     """Dialect of the platform's clients."""
@@ -226,9 +262,16 @@
     value = message.headers.get(DEADLINE_MS)
     if value is None:
         return None
-    if not value.isascii() or not value.isdecimal():
+    if (
+        not value.isascii()
+        or not value.isdecimal()
+        or len(value) > _MAX_DEADLINE_DIGITS
+    ):
         raise exceptions.CallRefusedError(
             code=errors.ErrorCode.MALFORMED_DEADLINE,
-            message=f"header {DEADLINE_MS} must be a whole number",
+            message=(
+                f"header {DEADLINE_MS} must be a whole number of at most "
+                f"{_MAX_DEADLINE_DIGITS} digits"
+            ),
         )
     return int(value) / 1000
--- a/tanagerspoke/protocol/calls.py
+++ b/tanagerspoke/protocol/calls.py
@@ -165,6 +165,14 @@
     upstream_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NoticeReceived:
+    """A response of the upstream held a notice."""
+
+    upstream_id: str
+    notice: upstreams.Notice
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LoadReported:
     """A load report from a probe was received."""
@@ -200,6 +208,7 @@
     | CallerDisconnected
     | UpstreamsChanged
     | DrainMarked
+    | NoticeReceived
     | LoadReported
     | ProbeEnded
     | Tick
--- a/tanagerspoke/protocol/headers.py
+++ b/tanagerspoke/protocol/headers.py
@@ -1,6 +1,7 @@
 """Header names, limits of header values and the codec of the load header."""
 
 from collections.abc import Collection, Iterable
+import re
 
 from tanagerspoke import exceptions
 from tanagerspoke.protocol import upstreams
@@ -41,10 +42,18 @@
 )
 
 MAX_DEADLINE_MS = 600_000
+# Longest pause that an upstream can ask for with one response. After it, a
+# single call shows whether the upstream still wants to be left alone.
+MAX_PAUSE_S = 300.0
 MAX_DEPTH = 15
 MAX_IDEMPOTENCY_KEY_CHARS = 128
 
 
+_DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{0,15})?")
+# Largest number in a load report; more calls or slots are a faulty report.
+_MAX_REPORTED = 1_000_000
+
+
 def format_load(report: upstreams.LoadReport) -> str:
     """Returns the value of the load header."""
     return (
@@ -72,7 +81,10 @@
         raise exceptions.ProtocolError(
             f"invalid load header {value!r}"
         ) from exc
-    if report.in_flight < 0 or report.slots < 1:
+    if not (
+        0 <= report.in_flight <= _MAX_REPORTED
+        and 1 <= report.slots <= _MAX_REPORTED
+    ):
         raise exceptions.ProtocolError(f"invalid load header {value!r}")
     return report
 
@@ -105,3 +117,16 @@
             if pair[0].lower() not in connection_options
         ]
     return tuple(forwarded)
+
+
+def parse_retry_after(value: str | None) -> float | None:
+    """Returns the pause in seconds that a `Retry-After` header asks for.
+
+    Fractions are allowed. A longer pause than `MAX_PAUSE_S` counts as that
+    long. Returns None for 0 and for everything that is no decimal number: a
+    date (the clocks of two hosts may differ by more than the pause), a negative
+    number or other text.
+    """
+    if value is None or not _DECIMAL_NUMBER.fullmatch(value):
+        return None
+    return min(MAX_PAUSE_S, float(value)) or None
--- a/tanagerspoke/protocol/upstreams.py
+++ b/tanagerspoke/protocol/upstreams.py
@@ -55,6 +55,20 @@
     host_slowness: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Notice:
+    """What an upstream states in a response about further calls.
+
+    Attributes:
+        leaving: whether it is leaving, so it must get no new calls.
+        pause_s: seconds for which it wants no calls from this process, None
+            where it states none.
+    """
+
+    leaving: bool = False
+    pause_s: float | None = None
+
+
 def group_by_service(
     listed: Iterable[Upstream],
 ) -> dict[str, tuple[Upstream, ...]]:
--- a/tanagerspoke/protocol/zone_feed.py
+++ b/tanagerspoke/protocol/zone_feed.py
@@ -5,7 +5,7 @@
 """
 
 import dataclasses
-from typing import TypeAlias
+from typing import Annotated, TypeAlias
 
 import msgspec
 
@@ -63,6 +63,27 @@
     entries: tuple[listing.ListedUpstream, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeavingUpstream:
+    """A process of an upstream that stated that it is leaving."""
+
+    upstream_id: ranges.Name
+    started_ms: ranges.UnixMs
+
+
+class LeavingUpdate(msgspec.Struct, frozen=True, kw_only=True, tag="leaving"):
+    """Upstreams that stated in a response that they are leaving.
+
+    A node learns this from its own calls. It tells the node that reads the
+    store, which tells the others of the zone. The message is small, so that
+    it does not have to repeat the list of upstreams.
+    """
+
+    upstreams: Annotated[
+        tuple[LeavingUpstream, ...], msgspec.Meta(max_length=1024)
+    ]
+
+
 class NodesUpdate(msgspec.Struct, frozen=True, kw_only=True, tag="nodes"):
     """All listed nodes."""
 
@@ -81,5 +102,5 @@
 
 
 ZoneUpdate: TypeAlias = (
-    RoutingUpdate | UpstreamsUpdate | NodesUpdate | Keepalive
+    RoutingUpdate | UpstreamsUpdate | LeavingUpdate | NodesUpdate | Keepalive
 )
--- a/tanagerspoke/state/loads.py
+++ b/tanagerspoke/state/loads.py
@@ -59,6 +59,8 @@
             the future while it is ejected, None where the limit is not
             reduced.
         ejected_until: end of its ejection.
+        paused_until: end of the pause that it asked for; it gets neither calls
+            nor probes before.
     """
 
     __slots__ = (
@@ -79,6 +81,7 @@
         "listed",
         "ramp_starts_at",
         "ejected_until",
+        "paused_until",
         "consecutive_failures",
         "ejections",
     )
@@ -101,6 +104,7 @@
         self.listed = True
         self.ramp_starts_at: float | None = None
         self.ejected_until = 0.0
+        self.paused_until = float("-inf")
         self.consecutive_failures = 0
         self.ejections = 0
 
@@ -220,6 +224,7 @@
         self.eligible: list[UpstreamLoad] = []
         self.mean_remote_in_flight = 0.0
         self.total_slots = 0
+        self._last_pause_ends_at = float("-inf")
         self._mean_local = 1.0
         self._mean_reported = 1.0
         # Initial values as for fresh reports, so a new process trusts reports.
@@ -262,6 +267,35 @@
             record.draining = True
             self._refresh_eligible()
 
+    def apply_notice(
+        self, upstream_id: str, notice: upstreams.Notice, now: float
+    ) -> None:
+        """Excludes an upstream that is leaving or asked for a pause.
+
+        After the pause, its attempt limit rises in a ramp.
+        """
+        record = self._records.get(upstream_id)
+        if record is None:
+            return
+        if notice.pause_s is not None:
+            record.paused_until = max(record.paused_until, now + notice.pause_s)
+            record.ramp_starts_at = record.paused_until
+            self._last_pause_ends_at = max(
+                self._last_pause_ends_at, record.paused_until
+            )
+        if notice.leaving:
+            self.mark_draining(upstream_id)
+
+    def paused_until(self, now: float) -> float | None:
+        """Returns the end of the first pause, or None if an upstream has none.
+
+        Upstreams that may get no calls for other reasons don't count.
+        """
+        if now >= self._last_pause_ends_at:
+            return None
+        first_end = min((r.paused_until for r in self.eligible), default=now)
+        return first_end if first_end > now else None
+
     def remove_if_idle(self, record: UpstreamLoad) -> None:
         """Removes an upstream that is no longer listed if it is idle."""
         if not record.listed:
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -19,6 +19,7 @@
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import routing
 from tanagerspoke.protocol import upstreams
+from tanagerspoke.protocol import zone_feed
 from tanagerspoke.settings import edge
 from tanagerspoke.settings import options
 from tanagerspoke.state import routes
@@ -318,6 +319,21 @@
             },
         )
 
+    def _mark_leaving(self, service: str, upstream_id: str) -> None:
+        for upstream in self._upstreams.get(service, ()):
+            if upstream.upstream_id == upstream_id and not upstream.leaving:
+                log.info(
+                    "upstream_leaving",
+                    extra={"service": service, "upstream": upstream_id},
+                )
+                self._zone_feed.mark_leaving(
+                    zone_feed.LeavingUpstream(
+                        upstream_id=upstream_id,
+                        started_ms=upstream.started_ms,
+                    )
+                )
+                return
+
     def _set_node_count(self, nodes: int | None) -> None:
         if nodes == self._node_count:
             return
@@ -353,7 +369,7 @@
             scheduler=scheduler,
             client=self._upstream_client,
             clock=time.monotonic,
-            on_draining=lambda upstream_id: None,
+            on_draining=functools.partial(self._mark_leaving, service),
             health_path=functools.partial(self._health_path, service),
             on_dispatch=functools.partial(
                 self._call_traces.record_dispatch, service
--- a/tanagerspoke/transport/peers/zone_feed_client.py
+++ b/tanagerspoke/transport/peers/zone_feed_client.py
@@ -17,6 +17,7 @@
 _CONNECT_TIMEOUT_S = 0.5
 # Transferring a complete state takes 0.2 s on a link of 5 Mbit/s.
 _STATE_TIMEOUT_S = 1.0
+_REPORT_TIMEOUT_S = 1.0
 # Time without an update after which a node counts as unreachable. By then two
 # keepalives are missing.
 _UPDATE_TIMEOUT_S = 2.5 * zone_feed_server.KEEPALIVE_INTERVAL_S
@@ -119,6 +120,27 @@
         ) as exc:
             raise FeedUnavailableError(f"cannot fetch state: {exc!r}") from exc
 
+    async def report(
+        self, *, node: zone_feed.Node, update: zone_feed.LeavingUpdate
+    ) -> None:
+        """Tells a node what this one has learned from its calls.
+
+        Raises:
+            FeedUnavailableError: the node did not accept the report.
+        """
+        url = f"http://{node.address}:{node.port}{zone_feed_codec.REPORT_PATH}"
+        data = zone_feed_codec.encode_update(update)
+        try:
+            async with (
+                asyncio.timeout(_REPORT_TIMEOUT_S),
+                self._session.post(url, data=data) as resp,
+            ):
+                status = resp.status
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise FeedUnavailableError(f"cannot report: {exc!r}") from exc
+        if status != 204:
+            raise FeedUnavailableError(f"report refused: status {status}")
+
     def _read_updates(
         self, resp: aiohttp.ClientResponse
     ) -> AsyncIterator[zone_feed.ZoneUpdate]:
--- a/tanagerspoke/transport/peers/zone_feed_codec.py
+++ b/tanagerspoke/transport/peers/zone_feed_codec.py
@@ -16,6 +16,9 @@
 # Path of a node's state. Unlike the feed, it ends after the last update and is
 # also served by a node whose state is out of date.
 STATE_PATH = "/state"
+# Path to which a follower sends what it has learned from its own calls.
+REPORT_PATH = "/report"
+MAX_REPORT_BYTES = 65_536
 _FRAME_LENGTH = struct.Struct("!I")
 # A routing table of thousands of routes stays well below this.
 _MAX_FRAME_BYTES = 16_777_216
@@ -26,10 +29,15 @@
 
 def encode_frame(update: zone_feed.ZoneUpdate) -> bytes:
     """Returns the frame of an update."""
-    data = zlib.compress(msgspec.msgpack.encode(update))
+    data = encode_update(update)
     return _FRAME_LENGTH.pack(len(data)) + data
 
 
+def encode_update(update: zone_feed.ZoneUpdate) -> bytes:
+    """Returns the compressed content of an update's frame."""
+    return zlib.compress(msgspec.msgpack.encode(update))
+
+
 async def read_updates(
     stream: aiohttp.StreamReader,
     *,
--- a/tanagerspoke/transport/peers/zone_feed_server.py
+++ b/tanagerspoke/transport/peers/zone_feed_server.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from tanagerspoke import exceptions
 from tanagerspoke.protocol import zone_feed
 from tanagerspoke.settings import options
 from tanagerspoke.transport.peers import zone_feed_codec
@@ -36,6 +37,7 @@
         initial_updates: Callable[[], list[zone_feed.ZoneUpdate]],
         state_updates: Callable[[], list[zone_feed.ZoneUpdate]],
         is_current: Callable[[], bool],
+        on_report: Callable[[zone_feed.LeavingUpdate], None],
     ) -> None:
         """Creates a server that is not started.
 
@@ -47,11 +49,13 @@
             state_updates: returns this node's state, which may be out of date.
             is_current: returns whether this node reads the store itself, and
                 the last reads succeeded.
+            on_report: called with what a follower has learned from its calls.
         """
         self._listen = listen
         self._initial_updates = initial_updates
         self._state_updates = state_updates
         self._is_current = is_current
+        self._on_report = on_report
         self._follower_queues: set[asyncio.Queue[bytes]] = set()
         self._stream_tasks: set[asyncio.Task[None]] = set()
         self._runner: web.AppRunner | None = None
@@ -59,9 +63,10 @@
 
     async def start(self) -> None:
         """Opens the port."""
-        app = web.Application()
+        app = web.Application(client_max_size=zone_feed_codec.MAX_REPORT_BYTES)
         app.router.add_get(zone_feed_codec.FEED_PATH, self._serve_feed)
         app.router.add_get(zone_feed_codec.STATE_PATH, self._serve_state)
+        app.router.add_post(zone_feed_codec.REPORT_PATH, self._serve_report)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.0)
         await self._runner.setup()
         await web.TCPSite(
@@ -130,6 +135,16 @@
         self.sent_bytes += len(body)
         return web.Response(body=body)
 
+    async def _serve_report(self, req: web.Request) -> web.Response:
+        try:
+            update = zone_feed_codec.decode_update(await req.read())
+        except exceptions.ProtocolError as exc:
+            return web.Response(status=400, text=f"{exc}\n")
+        if not isinstance(update, zone_feed.LeavingUpdate):
+            return web.Response(status=400, text="not a report\n")
+        self._on_report(update)
+        return web.Response(status=204)
+
     async def _next_frame(self, queue: asyncio.Queue[bytes]) -> bytes:
         try:
             async with asyncio.timeout(KEEPALIVE_INTERVAL_S):
--- a/tanagerspoke/transport/peers/zone_feed_service.py
+++ b/tanagerspoke/transport/peers/zone_feed_service.py
@@ -92,7 +92,10 @@
             initial_updates=self._initial_updates,
             state_updates=self._state_updates,
             is_current=lambda: self._store_follower.is_current,
+            on_report=self._apply_leaving,
         )
+        self._followed_node: zone_feed.Node | None = None
+        self._reports: set[asyncio.Task[None]] = set()
 
     @property
     def is_following(self) -> bool:
@@ -112,6 +115,45 @@
         self._cfg = cfg
         self._store_follower.set_options(cfg)
 
+    def mark_leaving(self, upstream: zone_feed.LeavingUpstream) -> None:
+        """Records that an upstream stated in a response that it is leaving.
+
+        The other nodes of the zone learn it through the node that reads the
+        store.
+        """
+        update = zone_feed.LeavingUpdate(upstreams=(upstream,))
+        if not self._apply_leaving(update) or self._followed_node is None:
+            return
+        report = asyncio.get_running_loop().create_task(
+            self._report(self._followed_node, update)
+        )
+        self._reports.add(report)
+        report.add_done_callback(self._reports.discard)
+
+    async def _report(
+        self, node: zone_feed.Node, update: zone_feed.LeavingUpdate
+    ) -> None:
+        try:
+            await self._client.report(node=node, update=update)
+        except zone_feed_client.FeedUnavailableError as exc:
+            # The other nodes learn it from the store or their own calls.
+            log.info(
+                "report_not_sent", extra={"node": node.name, "error": str(exc)}
+            )
+
+    def _apply_leaving(self, update: zone_feed.LeavingUpdate) -> bool:
+        """Applies and publishes an update; returns whether it was news."""
+        news = tuple(
+            upstream
+            for upstream in update.upstreams
+            if self._listing.mark_leaving(upstream)
+        )
+        if not news:
+            return False
+        self._server.publish(zone_feed.LeavingUpdate(upstreams=news))
+        self._on_upstreams(self._listing.upstreams)
+        return True
+
     async def on_start(self) -> None:
         """Opens the peer port and the connections to the store."""
         await self._client.start()
@@ -120,6 +162,8 @@
 
     async def on_stop(self) -> None:
         """Closes the peer port and all connections."""
+        for report in list(self._reports):
+            report.cancel()
         await self._server.close()
         await self._client.close()
 
@@ -134,6 +178,7 @@
                 await asyncio.sleep(_READER_CHOICE_INTERVAL_S)
                 continue
             try:
+                self._followed_node = node
                 await self._client.follow(
                     node=node, on_update=self._apply_update
                 )
@@ -146,6 +191,8 @@
                     "news_lost", extra={"node": node.name, "error": str(exc)}
                 )
                 self._start_reading("news lost")
+            finally:
+                self._followed_node = None
 
     async def _wait_for_starting_reader(self) -> bool:
         """Waits before the chosen node, which refused, is tried again.
@@ -205,6 +252,8 @@
             case zone_feed.UpstreamsUpdate(entries=entries, position=position):
                 if self._listing.apply_snapshot(entries, position=position):
                     self._publish_upstreams()
+            case zone_feed.LeavingUpdate():
+                self._apply_leaving(update)
             case zone_feed.NodesUpdate(nodes=nodes):
                 self._apply_nodes(nodes)
 
@@ -215,7 +264,7 @@
         if self._table is not None:
             updates.append(zone_feed.RoutingUpdate(table=self._table))
         if self._store_follower.is_current:
-            updates.append(self._upstreams_update())
+            updates.extend(self._upstreams_updates())
         # The keepalive comes last, because a follower stops reading the store
         # when it receives one.
         updates.append(
@@ -230,7 +279,16 @@
         if self._table is not None:
             updates.append(zone_feed.RoutingUpdate(table=self._table))
         if self._listing.position >= 0:
-            updates.append(self._upstreams_update())
+            updates.extend(self._upstreams_updates())
+        return updates
+
+    def _upstreams_updates(self) -> list[zone_feed.ZoneUpdate]:
+        updates: list[zone_feed.ZoneUpdate] = []
+        if self._listing.leaving:
+            updates.append(
+                zone_feed.LeavingUpdate(upstreams=self._listing.leaving)
+            )
+        updates.append(self._upstreams_update())
         return updates
 
     def _upstreams_update(self) -> zone_feed.UpstreamsUpdate:
--- a/tanagerspoke/transport/upstreams/dispatcher.py
+++ b/tanagerspoke/transport/upstreams/dispatcher.py
@@ -302,6 +302,7 @@
             attempt=1,
             timeout_s=_PROBE_TIMEOUT_S,
             on_ended=lambda ended: self._on_probe_ended(upstream_id, ended),
+            on_notice=functools.partial(self._on_notice, upstream),
         )
 
     def _on_probe_ended(
@@ -384,6 +385,22 @@
             on_started=lambda response: self._on_response_started(
                 running, action, response
             ),
+            on_notice=functools.partial(self._on_notice, upstream),
+        )
+
+    def _on_notice(
+        self, upstream: upstreams.Upstream, notice: upstreams.Notice
+    ) -> None:
+        listed = self._upstreams.get(upstream.upstream_id)
+        if listed is None or listed.started_ms != upstream.started_ms:
+            # The notice is of an earlier process with the same id.
+            return
+        if notice.leaving:
+            self._on_draining(upstream.upstream_id)
+        self.handle(
+            calls.NoticeReceived(
+                upstream_id=upstream.upstream_id, notice=notice
+            )
         )
 
     def _on_response_started(
--- a/tanagerspoke/transport/upstreams/idle_pool.py
+++ b/tanagerspoke/transport/upstreams/idle_pool.py
@@ -12,6 +12,8 @@
 # Connections are discarded this long before the timeout that the upstream
 # states in its `Keep-Alive` header.
 _KEEP_ALIVE_MARGIN_S = 1.0
+# Further digits of a timeout do not matter, since it is bounded by the above.
+_MAX_TIMEOUT_DIGITS = 9
 
 
 class IdlePool:
@@ -91,5 +93,6 @@
     for part in value.split(","):
         name, _, seconds = part.strip().partition("=")
         if name.lower() == "timeout" and seconds.isdecimal():
-            return min(_MAX_IDLE_S, int(seconds) - _KEEP_ALIVE_MARGIN_S)
+            stated_s = int(seconds[:_MAX_TIMEOUT_DIGITS])
+            return min(_MAX_IDLE_S, stated_s - _KEEP_ALIVE_MARGIN_S)
     return _MAX_IDLE_S
--- a/tanagerspoke/transport/upstreams/response_reader.py
+++ b/tanagerspoke/transport/upstreams/response_reader.py
@@ -17,6 +17,16 @@
 # one socket read.
 _STREAM_LIMIT_BYTES = 65_536
 _END_OF_HEAD = b"\r\n\r\n"
+# Bytes before the end of the final response's head, with all interim and
+# skipped responses. The parser itself limits single lines only.
+_MAX_BYTES_BEFORE_HEAD = 131_072
+# Interim responses, and late responses to earlier requests, before the final
+# response.
+_MAX_SKIPPED_RESPONSES = 16
+# Bytes of chunk sizes, chunk extensions and trailers: a fixed number, and a
+# number for each byte of the body, since a chunk may hold a single byte.
+_MAX_CHUNK_OVERHEAD_BYTES = 65_536
+_MAX_CHUNK_OVERHEAD_PER_BYTE = 16
 
 
 class _NoFlowControl:
@@ -48,6 +58,7 @@
         "_bytes_after_head",
         "_body_bytes",
         "_interim_responses",
+        "_skipped_responses",
         "_loop",
         "_no_body_parser",
         "_parser",
@@ -68,8 +79,9 @@
         self._payload: streams.StreamReader | None = None
         # All received bytes until the head is complete; after that, the last
         # bytes of a chunked body.
-        self._received = b""
+        self._received = bytearray()
         self._interim_responses = 0
+        self._skipped_responses = 0
         self._bytes_after_head = 0
         self._body_bytes = 0
         self.head: http.RawResponseMessage | None = None
@@ -106,8 +118,9 @@
         self._accepts_head = accepts
         self.head = None
         self.done = False
-        self._received = b""
+        self._received = bytearray()
         self._interim_responses = 0
+        self._skipped_responses = 0
         self._bytes_after_head = 0
         self._body_bytes = 0
         self._payload = None
@@ -119,7 +132,8 @@
         """Parses received bytes and returns the body bytes among them.
 
         Raises:
-            UpstreamError: the bytes are not a valid HTTP response.
+            UpstreamError: the bytes are not a valid HTTP response, or exceed a
+                limit on bytes other than those of the body.
         """
         if self.done:
             self.has_surplus = True
@@ -138,16 +152,32 @@
             self._accept_message(message, payload)
         self._track_head_end(data, had_head)
         if self._payload is None:
+            if len(self._received) > _MAX_BYTES_BEFORE_HEAD:
+                raise exceptions.UpstreamError(
+                    f"no complete head within {_MAX_BYTES_BEFORE_HEAD} bytes"
+                )
             return b""
         if self._payload.exception() is not None:
             raise exceptions.UpstreamError("malformed body")
         body = self._payload.read_nowait()
         self._body_bytes += len(body)
+        self._check_chunk_overhead()
         if self._payload.is_eof():
             self.done = True
             self.has_surplus = self.has_surplus or not self._ends_cleanly()
         return body
 
+    def _check_chunk_overhead(self) -> None:
+        overhead = self._bytes_after_head - self._body_bytes
+        allowed = (
+            _MAX_CHUNK_OVERHEAD_BYTES
+            + _MAX_CHUNK_OVERHEAD_PER_BYTE * self._body_bytes
+        )
+        if self.head.chunked and overhead > allowed:
+            raise exceptions.UpstreamError(
+                "the chunks have too long extensions or trailers"
+            )
+
     def end_at_close(self) -> bool:
         """Completes a body without a length when the connection is closed.
 
@@ -171,7 +201,8 @@
         if had_head:
             self._bytes_after_head += len(data)
             if self.head.chunked:
-                self._received = (self._received + data)[-len(_END_OF_HEAD) :]
+                self._received += data[-len(_END_OF_HEAD) :]
+                del self._received[: -len(_END_OF_HEAD)]
             return
         self._received += data
         if self.head is None:
@@ -209,10 +240,19 @@
             raise exceptions.UpstreamError("unexpected protocol upgrade")
         elif message.code < 200:
             self._interim_responses += 1
+            self._count_skipped()
         elif self._accepts_head is not None and not self._accepts_head(message):
             # After a skipped response, the boundaries between responses are no
             # longer certain, so the connection must not be reused.
             self.has_surplus = True
+            self._count_skipped()
         else:
             self.head = message
             self._payload = payload
+
+    def _count_skipped(self) -> None:
+        self._skipped_responses += 1
+        if self._skipped_responses > _MAX_SKIPPED_RESPONSES:
+            raise exceptions.UpstreamError(
+                "too many responses before the expected one"
+            )
--- a/tanagerspoke/transport/upstreams/response_stream.py
+++ b/tanagerspoke/transport/upstreams/response_stream.py
@@ -1,7 +1,6 @@
 """Body of a response that is forwarded to the caller while it arrives."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 
 from tanagerspoke import exceptions
@@ -24,8 +23,9 @@
     def __init__(self, *, transport: asyncio.ReadTransport) -> None:
         self.on_abandoned: Callable[[], None] = lambda: None
         self._transport = transport
-        self._chunks: collections.deque[bytes] = collections.deque()
-        self._buffered_bytes = 0
+        # One buffer rather than the received pieces: an upstream that sends
+        # single bytes would fill the memory with objects.
+        self._buffer = bytearray()
         self._paused = False
         self._finished = False
         self._error: str | None = None
@@ -34,15 +34,14 @@
     @property
     def buffered_bytes(self) -> int:
         """Number of bytes that the caller has not read yet."""
-        return self._buffered_bytes
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> None:
         """Appends received bytes of the body."""
         if not data:
             return
-        self._chunks.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes >= _PAUSE_THRESHOLD_BYTES and not self._paused:
+        self._buffer += data
+        if len(self._buffer) >= _PAUSE_THRESHOLD_BYTES and not self._paused:
             self._paused = True
             self._transport.pause_reading()
         self._wake()
@@ -76,7 +75,7 @@
         while True:
             if self._error is not None:
                 raise exceptions.UpstreamError(self._error)
-            if self._chunks:
+            if self._buffer:
                 return self._drain_buffer()
             if self._finished:
                 return b""
@@ -84,9 +83,8 @@
             await self._waiter
 
     def _drain_buffer(self) -> bytes:
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._buffered_bytes = 0
+        data = bytes(self._buffer)
+        self._buffer.clear()
         self._resume()
         return data
 
--- a/tanagerspoke/transport/upstreams/upstream_client.py
+++ b/tanagerspoke/transport/upstreams/upstream_client.py
@@ -87,8 +87,9 @@
         "_connecting",
         "_on_ended",
         "_on_started",
-        "_body_parts",
-        "_buffered_bytes",
+        "_body",
+        "_notice_read",
+        "_on_notice",
         "_stream",
         "_timer",
         "attempt",
@@ -113,6 +114,7 @@
         deadline: float,
         on_ended: Callable[[EndedExchange], None],
         on_started: Callable[[Response], None] | None,
+        on_notice: Callable[[upstreams.Notice], None],
     ) -> None:
         self._client = client
         self.exchange_id = exchange_id
@@ -126,8 +128,9 @@
         self.watched = False
         self._on_ended = on_ended
         self._on_started = on_started
-        self._body_parts: list[bytes] = []
-        self._buffered_bytes = 0
+        self._on_notice = on_notice
+        self._notice_read = False
+        self._body = bytearray()
         self._stream: response_stream.ResponseStream | None = None
         self._connecting: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -213,6 +216,10 @@
                 calls.Crossed(), "the response has the id of another request"
             )
             return
+        if not self._notice_read:
+            self._read_notice(head)
+            if self.ended:
+                return
         defect = self.dialect.find_defect(head=head, request=self.request)
         if defect is not None:
             self._fail(calls.Broken(), defect)
@@ -224,6 +231,16 @@
         if conn.reader.done and not self.ended:
             self._finish()
 
+    def _read_notice(self, head: Any) -> None:
+        """Reports the notice in a head once, before the response is used.
+
+        A long response may be passed on for a long time after its head.
+        """
+        self._notice_read = True
+        notice = self.dialect.notice(head)
+        if notice is not None:
+            self._on_notice(notice)
+
     def on_broken(self, error: str) -> None:
         """Implements `upstream_connection.Receiver`."""
         if self.watched:
@@ -233,19 +250,12 @@
 
     def _buffer(self, body: bytes) -> None:
         conn = self.conn
-        if body:
-            self._body_parts.append(body)
-            self._buffered_bytes += len(body)
-        if (
-            conn.reader.done
-            and self._buffered_bytes <= self.request.max_buffered_bytes
-        ):
+        self._body += body
+        max_buffered_bytes = self.request.max_buffered_bytes
+        if conn.reader.done and len(self._body) <= max_buffered_bytes:
             return
         content_length = _content_length(conn.reader.head)
-        if (
-            max(self._buffered_bytes, content_length or 0)
-            <= self.request.max_buffered_bytes
-        ):
+        if max(len(self._body), content_length or 0) <= max_buffered_bytes:
             return
         not_run = self.dialect.not_run_result(conn.reader.head)
         if not_run is not None:
@@ -258,9 +268,8 @@
     def _start_stream(self, content_length: int | None) -> None:
         conn = self.conn
         self._stream = response_stream.ResponseStream(transport=conn.transport)
-        for part in self._body_parts:
-            self._stream.feed(part)
-        self._body_parts.clear()
+        self._stream.feed(bytes(self._body))
+        self._body.clear()
         head = conn.reader.head
         self._on_started(
             Response(
@@ -287,7 +296,7 @@
                 response=Response(
                     status=status,
                     headers=self._forwarded_headers(head),
-                    body=b"".join(self._body_parts),
+                    body=bytes(self._body),
                     stream=self._stream,
                     content_length=_content_length(head),
                 ),
@@ -331,7 +340,7 @@
             load = self._parse_load(conn.reader.head)
         if isinstance(result, calls.TimedOut) and self._stream is None:
             self.watched = True
-            self._body_parts.clear()
+            self._body.clear()
             self._client.watch(self)
         elif conn is not None:
             conn.close()
@@ -430,12 +439,14 @@
         timeout_s: float,
         on_ended: Callable[[EndedExchange], None],
         on_started: Callable[[Response], None] | None = None,
+        on_notice: Callable[[upstreams.Notice], None] = lambda notice: None,
     ) -> Exchange:
         """Starts an exchange that ends within `timeout_s` seconds.
 
         `on_ended` is never called before this returns. `on_started` is called
         with a streamed response as soon as its head has arrived and its body
-        is known to exceed `max_buffered_bytes`.
+        is known to exceed `max_buffered_bytes`. `on_notice` is called before
+        them if the head of the response holds a notice of the upstream.
         """
         assert self._loop is not None
         exchange = Exchange(
@@ -447,6 +458,7 @@
             deadline=self._loop.time() + timeout_s,
             on_ended=on_ended,
             on_started=on_started,
+            on_notice=on_notice,
         )
         exchange.start(self._loop)
         return exchange
--- a/tanagerspoke/transport/upstreams/upstream_dialect.py
+++ b/tanagerspoke/transport/upstreams/upstream_dialect.py
@@ -106,6 +106,11 @@
             ProtocolError: the report is malformed.
         """
 
+    def notice(
+        self, head: aiohttp_http.RawResponseMessage
+    ) -> upstreams.Notice | None:
+        """Returns what the upstream states about further calls, or None."""
+
 
 class TanagerspokeDialect(UpstreamDialect):
     """Dialect with the product's own header names."""
@@ -150,9 +155,10 @@
             or head.headers.get(headers.OUTCOME) != errors.Outcome.NOT_RUN
         ):
             return None
-        value = head.headers.get("Retry-After", "")
         return calls.Shed(
-            retry_after_s=float(value) if value.isdecimal() else None
+            retry_after_s=headers.parse_retry_after(
+                head.headers.get("Retry-After")
+            )
         )
 
     def find_defect(
@@ -168,6 +174,13 @@
         """Implements `UpstreamDialect`."""
         return headers.parse_load(head.headers.get(headers.LOAD))
 
+    def notice(
+        self, head: aiohttp_http.RawResponseMessage
+    ) -> upstreams.Notice | None:
+        """Implements `UpstreamDialect`; leaving is part of the load report."""
+        del head
+        return None
+
 
 def encode_head(lines: list[str]) -> bytes:
     """Returns the encoded head of a message, including the final empty line.
--- a/tests/coordination/test_upstream_listing.py
+++ b/tests/coordination/test_upstream_listing.py
@@ -8,6 +8,7 @@
 from tanagerspoke.coordination import upstream_listing
 from tanagerspoke.protocol import listing
 from tanagerspoke.protocol import upstreams
+from tanagerspoke.protocol import zone_feed
 
 
 def _entry(
@@ -79,6 +80,58 @@
     assert _names(upstream_list) == {"u1"}
 
 
+def _leaving(
+    name: str = "u1", started_ms: int = 100
+) -> zone_feed.LeavingUpstream:
+    return zone_feed.LeavingUpstream(upstream_id=name, started_ms=started_ms)
+
+
+def test_upstream_that_said_it_leaves_stays_out_of_use() -> None:
+    """Guards against a leaving upstream that an entry brings back.
+
+    Newer entries of the same process, a removal and a new listing, and another
+    node's older state all leave it out of use; its next start does not.
+    """
+    upstream_list = upstream_listing.UpstreamListing()
+    upstream_list.apply_changes(_changes(1, _entry()), 0.0)
+    assert upstream_list.mark_leaving(_leaving())
+    assert not upstream_list.mark_leaving(_leaving())
+    assert upstream_list.upstreams[0].leaving
+    upstream_list.apply_changes(_changes(2, _entry(sequence=9)), 1.0)
+    assert upstream_list.upstreams[0].leaving
+    upstream_list.apply_changes(_removal(3), 2.0)
+    upstream_list.apply_changes(_changes(4, _entry(sequence=12)), 3.0)
+    assert upstream_list.upstreams[0].leaving
+    upstream_list.apply_snapshot((_entry(sequence=14),), position=5)
+    assert upstream_list.upstreams[0].leaving
+    upstream_list.apply_changes(
+        _changes(6, _entry(sequence=1, started_ms=200)), 4.0
+    )
+    assert not upstream_list.upstreams[0].leaving
+    assert not upstream_list.mark_leaving(_leaving())
+    assert not upstream_list.upstreams[0].leaving
+
+
+def test_restarted_node_learns_of_leaving_upstreams_from_a_peer() -> None:
+    """Guards against a restart that makes a leaving upstream usable again."""
+    peer = upstream_listing.UpstreamListing()
+    peer.mark_leaving(_leaving())
+    restarted = upstream_listing.UpstreamListing()
+    for upstream in peer.leaving:
+        restarted.mark_leaving(upstream)
+    restarted.apply_changes(_changes(1, _entry()), 0.0)
+    assert restarted.upstreams[0].leaving
+
+
+def test_memory_of_leaving_upstreams_is_bounded() -> None:
+    """Guards against memory and messages that grow with every restart."""
+    upstream_list = upstream_listing.UpstreamListing()
+    for number in range(6000):
+        upstream_list.mark_leaving(_leaving(f"u{number}"))
+    assert len(upstream_list.leaving) == 256
+    assert upstream_list.leaving[-1].upstream_id == "u5999"
+
+
 def test_memory_of_upstreams_that_left_is_bounded() -> None:
     """Guards against memory that grows with every restart of an upstream."""
     upstream_list = upstream_listing.UpstreamListing()
--- a/tests/transport/edge_stack.py
+++ b/tests/transport/edge_stack.py
@@ -69,6 +69,9 @@
         deadlines: values of X-Deadline-Ms of the requests that it ran.
         behavior: `ok`, `shed` (refuses), `reset` (resets the connection),
             `unsigned` (sends no signature) or `hold` (waits for `release`).
+        refused: ids of the requests that it refused.
+        extra_headers: further headers of all responses.
+        requests: number of requests and probes that it received.
     """
 
     def __init__(self, *, name: str) -> None:
@@ -78,6 +81,9 @@
         self.cancelled: list[str] = []
         self.deadlines: list[int] = []
         self.behavior = "ok"
+        self.extra_headers: dict[str, str] = {}
+        self.refused: list[str] = []
+        self.requests = 0
         self.release = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
@@ -115,15 +121,19 @@
 
     async def _health(self, req: web.Request) -> web.Response:
         del req
+        self.requests += 1
         headers = {"X-Instance-Id": self.name, "X-Server-Load": "0,0,3,100"}
-        return web.Response(headers=headers)
+        return web.Response(headers=headers | self.extra_headers)
 
     async def _run(self, req: web.Request) -> web.Response:
+        self.requests += 1
         request_id = req.headers["X-Attempt-Id"]
         headers = {"X-Attempt-Id": request_id, "X-Server-Load": "1,0,3,100"}
+        headers |= self.extra_headers
         if req.headers["X-Expect-Instance"] != self.name:
             return web.Response(status=421, headers=headers)
         if self.behavior == "shed":
+            self.refused.append(request_id)
             headers["X-Not-Executed"] = "1"
             return web.Response(status=503, headers=headers)
         self.ran.append(request_id)
--- a/tests/transport/test_edge_service.py
+++ b/tests/transport/test_edge_service.py
@@ -232,6 +232,115 @@
         assert sum(len(w.ran) for w in cluster.workers) == 0
 
 
+@pytest.mark.parametrize(
+    ("behavior", "path"),
+    [("ok", "/read/x"), ("shed", "/read/x"), ("unsigned", "/write/x")],
+)
+async def test_worker_that_says_it_leaves_gets_no_new_requests(
+    behavior: str, path: str
+) -> None:
+    """Guards against requests to a worker that announced its end itself.
+
+    The store is down, so only the worker's responses tell. A node that did
+    not get any of them learns it from the one that reads the store.
+    """
+    async with edge_stack.run(workers=2, nodes=2) as cluster:
+        for node in range(2):
+            await cluster.wait_ready(node)
+        await edge_stack.wait_for(
+            lambda: _async_value(
+                sum(e.follows_zone_feed for e in cluster.edges) == 1
+            )
+        )
+        cluster.store.down = True
+        leaving = cluster.workers[0]
+        leaving.behavior = behavior
+        leaving.extra_headers = {"Server-Leaving": "1"}
+        number = 0
+        while not leaving.requests:
+            number += 1
+            async with cluster.request(
+                "GET", path, request_id=f"q{number}"
+            ) as resp:
+                await resp.read()
+        requests = leaving.requests
+        # The node may have probed the worker already.
+        await asyncio.sleep(0.3)
+        for count in range(40):
+            async with cluster.request(
+                "GET", path, node=count % 2, request_id=f"r{count}"
+            ) as resp:
+                assert resp.status == 200
+        assert leaving.requests <= requests + 1
+        leaving_requests = leaving.requests
+        cluster.store.down = False
+        await cluster.store.put("servers", "w0", leaving.entry(sequence=7))
+        await asyncio.sleep(1.0)
+        for count in range(20):
+            async with cluster.request(
+                "GET", path, node=count % 2, request_id=f"s{count}"
+            ) as resp:
+                assert resp.status == 200
+        assert leaving.requests == leaving_requests
+        leaving.extra_headers = {}
+        leaving.behavior = "ok"
+        await cluster.store.put("servers", "w0", leaving.entry(born=2000))
+
+        async def is_used_again() -> bool:
+            async with cluster.request("GET", path) as resp:
+                await resp.read()
+            return leaving.requests > leaving_requests
+
+        await edge_stack.wait_for(is_used_again)
+
+
+async def test_worker_that_asks_for_a_pause_is_left_alone() -> None:
+    """Guards against requests and probes within a worker's `Retry-After`."""
+    async with edge_stack.run(workers=2) as cluster:
+        await cluster.wait_ready()
+        paused = cluster.workers[0]
+        paused.behavior = "shed"
+        paused.extra_headers = {"Retry-After": "60.5"}
+        number = 0
+        while not paused.refused:
+            number += 1
+            async with cluster.request(
+                "GET", "/read/x", request_id=f"q{number}"
+            ) as resp:
+                await resp.read()
+        await asyncio.sleep(0.3)
+        paused.behavior = "ok"
+        requests = paused.requests
+        for count in range(40):
+            async with cluster.request(
+                "GET", "/read/x", request_id=f"r{count}"
+            ) as resp:
+                assert resp.status == 200
+        assert paused.requests == requests
+
+
+async def test_pause_of_all_workers_is_a_refusal_at_once() -> None:
+    """Guards against callers that wait for workers that want no requests."""
+    async with edge_stack.run(workers=2) as cluster:
+        await cluster.wait_ready()
+        for worker in cluster.workers:
+            worker.behavior = "shed"
+            worker.extra_headers = {"Retry-After": "30"}
+        for number in range(10):
+            async with cluster.request(
+                "GET", "/read/x", request_id=f"q{number}"
+            ) as resp:
+                assert resp.status == 503
+        requests = [worker.requests for worker in cluster.workers]
+        started_at = time.monotonic()
+        async with cluster.request("GET", "/read/x", request_id="last") as resp:
+            assert resp.status == 503
+            assert 20 < float(resp.headers["Retry-After"]) < 40
+        # Without the refusal, it would wait for its target of 10 s.
+        assert time.monotonic() - started_at < 5
+        assert [worker.requests for worker in cluster.workers] == requests
+
+
 async def test_other_worker_at_the_address_runs_nothing() -> None:
     """Guards against a request run by a worker that it is not meant for.
 
--- a/tests/transport/upstreams/test_response_reader.py
+++ b/tests/transport/upstreams/test_response_reader.py
@@ -121,3 +121,105 @@
     except exceptions.UpstreamError:
         return
     assert not reader.done
+
+
+# (name, start of a response, bytes that follow without end)
+ENDLESS_RESPONSES = (
+    ("status line", b"", b"x"),
+    ("status code", b"HTTP/1.1 ", b"2"),
+    ("reason", b"HTTP/1.1 200 ", b"O"),
+    ("header name", b"HTTP/1.1 200 OK\r\n", b"x"),
+    ("header value", b"HTTP/1.1 200 OK\r\nA: ", b"x"),
+    ("headers", b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"),
+    ("interim responses", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    ("line ends", b"", b"\r\n"),
+    (
+        "chunk size",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"0",
+    ),
+    (
+        "chunk extension",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=",
+        b"x",
+    ),
+    (
+        "trailers",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"A: b\r\n",
+    ),
+    (
+        "trailer value",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ",
+        b"x",
+    ),
+    ("zeros", b"", b"\0"),
+)
+# Reading stops before this many bytes: the limits on heads and chunk overhead,
+# and one read that exceeds them.
+_MAX_READ_BYTES = 400_000
+
+
+@pytest.mark.parametrize("step_bytes", [1, 997, 65_536])
+@pytest.mark.parametrize(
+    ("name", "start", "unit"),
+    ENDLESS_RESPONSES,
+    ids=[case[0] for case in ENDLESS_RESPONSES],
+)
+def test_endless_bytes_are_an_error(
+    name: str, start: bytes, unit: bytes, step_bytes: int
+) -> None:
+    """Guards against an upstream that sends bytes until memory is full."""
+    reader = response_reader.ResponseReader(loop=object())
+    reader.begin(method="GET", accepts=lambda head: True)
+    count = max(1, step_bytes // len(unit))
+    received = 0
+
+    def feed_until_error() -> None:
+        nonlocal received
+        reader.feed(start) if start else None
+        while not reader.done and received < _MAX_READ_BYTES:
+            reader.feed(unit * count)
+            received += len(unit) * count
+
+    with pytest.raises(exceptions.UpstreamError):
+        feed_until_error()
+
+
+def test_endless_late_responses_are_an_error() -> None:
+    """Guards against an upstream that only sends responses to other calls."""
+    reader = response_reader.ResponseReader(loop=object())
+    reader.begin(method="GET", accepts=lambda head: False)
+    late = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+
+    def feed_all() -> None:
+        for _ in range(100):
+            reader.feed(late)
+
+    with pytest.raises(exceptions.UpstreamError):
+        feed_all()
+
+
+def test_time_for_endless_bytes_grows_linearly() -> None:
+    """Guards against a reader that searches all received bytes at each read.
+
+    Compares the number of bytes that are held, not the time.
+    """
+    reader = response_reader.ResponseReader(loop=object())
+    reader.begin(method="GET")
+    reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for _ in range(1000):
+        reader.feed(b"1\r\nx\r\n")
+        assert len(reader._received) <= 4
+
+
+def test_chunks_of_one_byte_are_accepted() -> None:
+    """Guards against a limit that rejects valid responses."""
+    reader = response_reader.ResponseReader(loop=object())
+    reader.begin(method="GET")
+    reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    body = b"".join(reader.feed(b"1\r\nx\r\n") for _ in range(100_000))
+    reader.feed(b"0\r\n\r\n")
+    assert reader.done
+    assert len(body) == 100_000
+    assert not reader.has_surplus
