Let one node of the fleet read the store, and save calls at restarts

Ruled out: reading less often (a change must be known within `drain_s` also when the reader fails: 0.8 s interval, 1.0 s to detect the failure); one reader whom all nodes follow directly (each change would cross to a zone once for each of its nodes).

Change: one node of each zone, its relay, follows the fleet's reader; the others follow the relay. A feed of the first level is only served by a node that reads the store itself, so no cycle is possible. A relay that loses its reader stays current for its followers until its own first read (0.15 s). A restarted node gives its peers 30 ms before it reads the store, registers only if its row is missing, and reads the list once.

--- a/tanagerspoke/transport/peers/zone_feed_client.py
+++ b/tanagerspoke/transport/peers/zone_feed_client.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from tanagerspoke import exceptions
+from tanagerspoke.coordination import reader_choice
 from tanagerspoke.protocol import zone_feed
 from tanagerspoke.settings import options
 from tanagerspoke.transport.peers import zone_feed_codec
@@ -20,7 +21,7 @@
 _REPORT_TIMEOUT_S = 1.0
 # Time without an update after which a node counts as unreachable. By then two
 # keepalives are missing.
-_UPDATE_TIMEOUT_S = 2.5 * zone_feed_server.KEEPALIVE_INTERVAL_S
+UPDATE_TIMEOUT_S = 2.5 * zone_feed_server.KEEPALIVE_INTERVAL_S
 
 
 class FeedUnavailableError(exceptions.TanagerspokeError):
@@ -57,7 +58,7 @@
     async def follow(
         self,
         *,
-        node: zone_feed.Node,
+        feed: reader_choice.FollowedFeed,
         on_update: Callable[[zone_feed.ZoneUpdate], None],
     ) -> None:
         """Passes on a node's updates for as long as they are current.
@@ -70,10 +71,12 @@
             NotAReaderError: the node refused the request, as it follows another
                 node or cannot read the store.
         """
+        node = feed.node
         url = f"http://{node.address}:{node.port}{zone_feed_codec.FEED_PATH}"
+        params = {zone_feed_codec.LEVEL_PARAMETER: feed.level.value}
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                resp = await self._session.get(url)
+                resp = await self._session.get(url, params=params)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise FeedUnavailableError(f"cannot connect: {exc!r}") from exc
         async with resp:
@@ -158,7 +161,7 @@
     ) -> None:
         updates = self._read_updates(resp)
         while True:
-            async with asyncio.timeout(_UPDATE_TIMEOUT_S):
+            async with asyncio.timeout(UPDATE_TIMEOUT_S):
                 try:
                     update = await anext(updates)
                 except StopAsyncIteration:
--- a/tanagerspoke/transport/peers/zone_feed_codec.py
+++ b/tanagerspoke/transport/peers/zone_feed_codec.py
@@ -13,6 +13,8 @@
 
 # Path of the stream of updates on a node's peer port.
 FEED_PATH = "/news"
+# Query parameter of the stream: a `reader_choice.FeedLevel`.
+LEVEL_PARAMETER = "level"
 # Path of a node's state. Unlike the feed, it ends after the last update and is
 # also served by a node whose state is out of date.
 STATE_PATH = "/state"
--- a/tanagerspoke/transport/peers/zone_feed_server.py
+++ b/tanagerspoke/transport/peers/zone_feed_server.py
@@ -1,4 +1,4 @@
-"""HTTP server of the zone feed, which the other nodes of the zone follow."""
+"""HTTP server of the zone feed, which other nodes follow."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from tanagerspoke import exceptions
+from tanagerspoke.coordination import reader_choice
 from tanagerspoke.protocol import zone_feed
 from tanagerspoke.settings import options
 from tanagerspoke.transport.peers import zone_feed_codec
@@ -23,8 +24,8 @@
 class ZoneFeedServer:
     """Streams the whole state, then its changes, to each follower.
 
-    A node that follows another one, or cannot read the store, refuses
-    followers, so that updates are forwarded by one node at most.
+    A node serves the level that `reader_choice.FeedLevel` allows it, and only
+    while its own state is current.
 
     Attributes:
         sent_bytes: total size of the sent frames.
@@ -36,7 +37,7 @@
         listen: options.Endpoint,
         initial_updates: Callable[[], list[zone_feed.ZoneUpdate]],
         state_updates: Callable[[], list[zone_feed.ZoneUpdate]],
-        is_current: Callable[[], bool],
+        is_current: Callable[[reader_choice.FeedLevel], bool],
         on_report: Callable[[zone_feed.LeavingUpdate], None],
     ) -> None:
         """Creates a server that is not started.
@@ -47,8 +48,8 @@
             initial_updates: returns the whole state for a new follower; called
                 only while `is_current`.
             state_updates: returns this node's state, which may be out of date.
-            is_current: returns whether this node reads the store itself, and
-                the last reads succeeded.
+            is_current: returns whether this node may serve a level now, and
+                its state is as recent as the store's replies.
             on_report: called with what a follower has learned from its calls.
         """
         self._listen = listen
@@ -95,7 +96,8 @@
                 queue.put_nowait(frame)
 
     async def _serve_feed(self, req: web.Request) -> web.StreamResponse:
-        if not self._is_current():
+        level = _requested_level(req)
+        if not self._is_current(level):
             return web.Response(status=409, text="not a current reader\n")
         resp = web.StreamResponse()
         await resp.prepare(req)
@@ -111,8 +113,8 @@
         try:
             is_current = True
             while is_current and queue.qsize() < _MAX_QUEUED_FRAMES:
-                is_current = self._is_current()
-                frame = await self._next_frame(queue)
+                is_current = self._is_current(level)
+                frame = await self._next_frame(queue, level)
                 await resp.write(frame)
                 self.sent_bytes += len(frame)
         except ConnectionError as exc:
@@ -145,11 +147,20 @@
         self._on_report(update)
         return web.Response(status=204)
 
-    async def _next_frame(self, queue: asyncio.Queue[bytes]) -> bytes:
+    async def _next_frame(
+        self, queue: asyncio.Queue[bytes], level: reader_choice.FeedLevel
+    ) -> bytes:
         try:
             async with asyncio.timeout(KEEPALIVE_INTERVAL_S):
                 return await queue.get()
         except TimeoutError:
             return zone_feed_codec.encode_frame(
-                zone_feed.Keepalive(current=self._is_current())
+                zone_feed.Keepalive(current=self._is_current(level))
             )
+
+
+def _requested_level(req: web.Request) -> reader_choice.FeedLevel:
+    level = req.query.get(zone_feed_codec.LEVEL_PARAMETER)
+    if level == reader_choice.FeedLevel.FLEET:
+        return reader_choice.FeedLevel.FLEET
+    return reader_choice.FeedLevel.ZONE
--- a/tanagerspoke/transport/peers/zone_feed_service.py
+++ b/tanagerspoke/transport/peers/zone_feed_service.py
@@ -1,7 +1,8 @@
-"""Follows the store, or another node of the zone that reads it."""
+"""Follows the store, or another node's feed of it."""
 
 import asyncio
 from collections.abc import Callable
+import functools
 import logging
 import time
 
@@ -26,16 +27,21 @@
 # again, since it may not have begun to read yet; later, another one is chosen.
 _STARTUP_WAIT_S = 2.0
 _READER_RETRY_INTERVAL_S = 0.2
+# Time that a restarted node waits for the state of another one before it reads
+# the store as well.
+_PEER_STATE_WAIT_S = 0.03
 # Interval at which a node that reads the store checks whether to follow another
 # one instead.
 _READER_CHOICE_INTERVAL_S = 1.0
+# Time in which a node that starts to read the store has its first reply.
+_READ_START_S = 0.15
 
 
 class ZoneFeedService(mode.Service):
     """Keeps routing, upstreams and nodes up to date with few store calls.
 
-    One node of each zone reads the store. The others follow its zone feed, and
-    read the store themselves as soon as its updates are late.
+    See `reader_choice` for who follows whom. A node reads the store itself as
+    soon as the updates that it follows are late.
     """
 
     def __init__(
@@ -91,10 +97,13 @@
             listen=cfg.peers,
             initial_updates=self._initial_updates,
             state_updates=self._state_updates,
-            is_current=lambda: self._store_follower.is_current,
-            on_report=self._apply_leaving,
+            is_current=self._is_current,
+            on_report=self._spread_leaving,
         )
         self._followed_node: zone_feed.Node | None = None
+        # Time until which this node relays the feed of the fleet's reader; see
+        # `_is_current`.
+        self._relays_until = float("-inf")
         self._reports: set[asyncio.Task[None]] = set()
 
     @property
@@ -118,10 +127,12 @@
     def mark_leaving(self, upstream: zone_feed.LeavingUpstream) -> None:
         """Records that an upstream stated in a response that it is leaving.
 
-        The other nodes of the zone learn it through the node that reads the
-        store.
+        The other nodes learn it through the node that reads the store.
         """
-        update = zone_feed.LeavingUpdate(upstreams=(upstream,))
+        self._spread_leaving(zone_feed.LeavingUpdate(upstreams=(upstream,)))
+
+    def _spread_leaving(self, update: zone_feed.LeavingUpdate) -> None:
+        """Applies an update and sends it on towards the reader of the store."""
         if not self._apply_leaving(update) or self._followed_node is None:
             return
         report = asyncio.get_running_loop().create_task(
@@ -172,15 +183,20 @@
     async def _follow(self) -> None:
         await self._wait_for_nodes()
         while not self.should_stop:
-            node = self._reader_choice.reader(time.monotonic())
-            if node is None:
-                self._start_reading("no other node of the zone to follow")
+            feed = self._reader_choice.feed(time.monotonic())
+            if feed is None:
+                self._start_reading("no other node to follow")
                 await asyncio.sleep(_READER_CHOICE_INTERVAL_S)
                 continue
+            node = feed.node
+            is_relay = feed.level is reader_choice.FeedLevel.FLEET
             try:
                 self._followed_node = node
                 await self._client.follow(
-                    node=node, on_update=self._apply_update
+                    feed=feed,
+                    on_update=functools.partial(
+                        self._apply_followed_update, is_relay
+                    ),
                 )
             except zone_feed_client.NotAReaderError:
                 if not await self._wait_for_starting_reader():
@@ -193,6 +209,9 @@
                 self._start_reading("news lost")
             finally:
                 self._followed_node = None
+                self._relays_until = min(
+                    self._relays_until, time.monotonic() + _READ_START_S
+                )
 
     async def _wait_for_starting_reader(self) -> bool:
         """Waits before the chosen node, which refused, is tried again.
@@ -208,10 +227,13 @@
 
     async def _wait_for_nodes(self) -> None:
         if not self._cfg.first_start:
-            # Callers are already waiting, so this node reads the store at
-            # once. The state of another node may arrive earlier.
-            self._start_reading("restart")
-            await self._fetch_peer_state()
+            # Callers are already waiting. Another node replies faster than
+            # the store, and many nodes may restart at the same time.
+            fetch = asyncio.create_task(self._fetch_peer_state())
+            await asyncio.wait([fetch], timeout=_PEER_STATE_WAIT_S)
+            if self._table is None or self._listing.position < 0:
+                self._start_reading("restart")
+            await fetch
         try:
             async with asyncio.timeout(_STARTUP_WAIT_S):
                 await self._nodes_received.wait()
@@ -241,6 +263,28 @@
             log.info("store_read_by_this_node", extra={"reason": reason})
             self._store_follower.resume()
 
+    def _is_current(self, level: reader_choice.FeedLevel) -> bool:
+        """Returns whether this node may serve followers of a level.
+
+        A relay that lost its reader is still current until its own first read
+        of the store. Otherwise all its followers would read it as well.
+        """
+        if self._store_follower.is_current:
+            return True
+        return (
+            level is reader_choice.FeedLevel.ZONE
+            and time.monotonic() < self._relays_until
+        )
+
+    def _apply_followed_update(
+        self, is_relay: bool, update: zone_feed.ZoneUpdate
+    ) -> None:
+        self._apply_update(update)
+        if is_relay and isinstance(update, zone_feed.Keepalive):
+            self._relays_until = (
+                time.monotonic() + zone_feed_client.UPDATE_TIMEOUT_S
+            )
+
     def _apply_update(self, update: zone_feed.ZoneUpdate) -> None:
         match update:
             case zone_feed.Keepalive() if self._store_follower.is_reading:
@@ -250,7 +294,11 @@
                 self._store_follower.set_services(table)
                 self._apply_routing(table)
             case zone_feed.UpstreamsUpdate(entries=entries, position=position):
-                if self._listing.apply_snapshot(entries, position=position):
+                is_first = self._listing.position < 0
+                changed = self._listing.apply_snapshot(
+                    entries, position=position
+                )
+                if changed or is_first:
                     self._publish_upstreams()
             case zone_feed.LeavingUpdate():
                 self._apply_leaving(update)
@@ -263,13 +311,10 @@
             updates.append(zone_feed.NodesUpdate(nodes=self._nodes))
         if self._table is not None:
             updates.append(zone_feed.RoutingUpdate(table=self._table))
-        if self._store_follower.is_current:
-            updates.extend(self._upstreams_updates())
+        updates.extend(self._upstreams_updates())
         # The keepalive comes last, because a follower stops reading the store
         # when it receives one.
-        updates.append(
-            zone_feed.Keepalive(current=self._store_follower.is_current)
-        )
+        updates.append(zone_feed.Keepalive(current=True))
         return updates
 
     def _state_updates(self) -> list[zone_feed.ZoneUpdate]:
--- a/tanagerspoke/transport/store/store_follower.py
+++ b/tanagerspoke/transport/store/store_follower.py
@@ -234,10 +234,11 @@
     def set_services(self, table: routing.RoutingTable) -> None:
         """Sets the services that entries of the list of upstreams may have."""
         services = frozenset(table.services)
-        if services != self._services:
+        if self._services is not None and services != self._services:
             # Entries of services that were unknown may have become valid.
-            self._services = services
+            # While no services are known, all entries are.
             self._full_read_requested.set()
+        self._services = services
 
     @mode.Service.task
     @supervision.restarted
@@ -303,9 +304,9 @@
     @mode.Service.task
     @supervision.restarted
     async def _follow_nodes(self) -> None:
-        while not self._registered:
-            await self._call_store(self._register_node())
         if self._cfg.first_start:
+            while not self._registered:
+                await self._call_store(self._register_node())
             # All nodes start at about the same time; after this wait, one read
             # returns them all.
             await asyncio.sleep(_FLEET_REGISTRATION_S)
@@ -314,7 +315,16 @@
             if listed is not None:
                 for problem in listed.problems:
                     self._report_problem(problem.key, problem.problem)
-                self._on_nodes(listed.nodes)
+                nodes = listed.nodes
+                # The row of a node that was killed is still there when the
+                # node starts again.
+                self._registered = self._registered or self._node in nodes
+                self._on_nodes(nodes)
+                if not self._registered:
+                    while not self._registered:
+                        await self._call_store(self._register_node())
+                    nodes = (*_without(nodes, self._node.name), self._node)
+                    self._on_nodes(nodes)
                 await asyncio.sleep(_NODES_READ_INTERVAL_S)
             await self._reading_enabled.wait()
             await self._health.wait_until_reachable()
@@ -352,3 +362,9 @@
     def _handle_recovery(self) -> None:
         self._listing.record_store_recovery()
         self._full_read_requested.set()
+
+
+def _without(
+    nodes: tuple[zone_feed.Node, ...], name: str
+) -> tuple[zone_feed.Node, ...]:
+    return tuple(node for node in nodes if node.name != name)
--- a/tests/transport/edge_stack.py
+++ b/tests/transport/edge_stack.py
@@ -240,9 +240,16 @@
 
 @contextlib.asynccontextmanager
 async def run(
-    *, workers: int = 2, nodes: int = 1, configured: bool = True
+    *,
+    workers: int = 2,
+    nodes: int = 1,
+    configured: bool = True,
+    zones: str = "a",
 ) -> AsyncIterator[EdgeStack]:
-    """Yields a running stack and closes it at the end."""
+    """Yields a running stack and closes it at the end.
+
+    The nodes are distributed over the zones in turn.
+    """
     async with contextlib.AsyncExitStack() as exit_stack:
         store_endpoint = _endpoint()
         store = metadata_store.MetadataStoreStandin(listen=store_endpoint)
@@ -261,7 +268,15 @@
                 timeout=aiohttp.ClientTimeout(total=stack.WAIT_S),
             )
         )
-        cfgs = tuple(_cfg(store, store_endpoint, n) for n in range(nodes))
+        cfgs = tuple(
+            _cfg(
+                store,
+                store_endpoint,
+                n,
+                availability_zone=zones[n % len(zones)],
+            )
+            for n in range(nodes)
+        )
         edges = []
         for cfg in cfgs:
             service = edge_service.EdgeService(
--- a/tests/transport/test_edge_service.py
+++ b/tests/transport/test_edge_service.py
@@ -496,6 +496,75 @@
             await edge_stack.wait_for(is_active)
 
 
+def _followers(cluster: edge_stack.EdgeStack) -> list[int]:
+    """Returns the numbers of the nodes that don't read the store."""
+    return [
+        number
+        for number, service in enumerate(cluster.edges)
+        if service.follows_zone_feed
+    ]
+
+
+async def _wait_in_force(
+    cluster: edge_stack.EdgeStack, version: int, nodes: list[int]
+) -> None:
+    for node in nodes:
+
+        async def is_in_force(node: int = node) -> bool:
+            metrics = await _read_metrics(cluster, node=node)
+            return f"config_version {version}.0" in metrics
+
+        await edge_stack.wait_for(is_in_force)
+
+
+async def test_one_node_of_all_zones_reads_the_store() -> None:
+    """Guards against store calls that grow with the number of zones.
+
+    Also guards against a zone that misses changes once the reader or its own
+    relay has stopped, and against a node that comes back as one more reader.
+    """
+    async with edge_stack.run(nodes=6, zones="abc") as cluster:
+        for node in range(6):
+            await cluster.wait_ready(node)
+        await edge_stack.wait_for(
+            lambda: _async_value(_followers(cluster) == [1, 2, 3, 4, 5])
+        )
+        calls_before = cluster.store.call_count
+        await asyncio.sleep(2.0)
+        # Reads of the workers, of the configuration and of the nodes by one
+        # node; with a reader in each zone there were three times as many.
+        assert cluster.store.call_count - calls_before <= 9
+        await cluster.store.put("op", "config", edge_stack.manifest(2))
+        await _wait_in_force(cluster, 2, [0, 1, 2, 3, 4, 5])
+        await cluster.edges[0].stop()
+        await cluster.store.put("op", "config", edge_stack.manifest(3))
+        await _wait_in_force(cluster, 3, [1, 2, 3, 4, 5])
+        await cluster.edges[1].stop()
+        await cluster.store.put("op", "config", edge_stack.manifest(4))
+        await _wait_in_force(cluster, 4, [2, 3, 4, 5])
+        await edge_stack.wait_for(
+            lambda: _async_value(len(_followers(cluster)) >= 3)
+        )
+
+
+async def test_store_outage_does_not_end_the_feeds_for_good() -> None:
+    """Guards against relays that keep reading the store after an outage."""
+    async with edge_stack.run(nodes=4, zones="ab") as cluster:
+        for node in range(4):
+            await cluster.wait_ready(node)
+        await edge_stack.wait_for(
+            lambda: _async_value(len(_followers(cluster)) == 3)
+        )
+        cluster.store.down = True
+        await asyncio.sleep(1.5)
+        cluster.store.down = False
+        await cluster.store.put("op", "config", edge_stack.manifest(2))
+        await _wait_in_force(cluster, 2, [0, 1, 2, 3])
+        await edge_stack.wait_for(
+            lambda: _async_value(len(_followers(cluster)) == 3)
+        )
+
+
 async def test_followers_read_the_store_after_the_reader_stops() -> None:
     """Guards against a zone that misses changes after its reader stopped."""
     async with edge_stack.run(nodes=2) as cluster:
