Use the probed upstreams of a large service, and prefer few of them

Cause: of more than 16 upstreams the balancer considers a random sample of 16.

Ruled out: a larger sample (costs processor time for each decision, and still scans upstreams without a fresh report).

Change: where a fresh report is needed, the candidates are the upstreams that sent one. A node probes six preferred upstreams of a service first, chosen by rendezvous hashing with its own zone first, then the others.

Tests that failed before: test_call_goes_to_a_probed_host_of_a_large_service, test_node_of_a_large_fleet_contacts_few_upstreams.

--- a/tanagerspoke/coordination/balancing.py
+++ b/tanagerspoke/coordination/balancing.py
@@ -60,6 +60,7 @@
         need_free_slot: bool = False,
         max_utilization: float | None = None,
         utilization_weight: float = _UTILIZATION_WEIGHT,
+        candidates: list[loads.UpstreamLoad] | None = None,
         accept: Callable[[loads.UpstreamLoad], bool] | None = None,
     ) -> loads.UpstreamLoad | None:
         """Returns the upstream with the lowest expected latency, or None.
@@ -79,6 +80,8 @@
             utilization_weight: weight of the utilization in an upstream's
                 score; lower where calls in flight are known rather than
                 estimated.
+            candidates: upstreams to choose from; by default all that may get
+                calls, or a sample of them if they are many.
             accept: returns False for upstreams to leave out.
         """
         best = None
@@ -87,12 +90,13 @@
         rng_random = self._rng.random
         mean_remote = self._view.mean_remote_in_flight
         trust = self._view.report_trust
-        candidates = self._candidates()
         # A single upstream could only be compared with itself.
         single_call_slowness = (
-            _SINGLE_CALL_SLOWNESS if len(candidates) > 1 else float("inf")
+            _SINGLE_CALL_SLOWNESS
+            if len(self._view.eligible) > 1
+            else float("inf")
         )
-        for record in candidates:
+        for record in self._candidates() if candidates is None else candidates:
             if _is_excluded(record, now, tried, accept):
                 continue
             slots = record.slots
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -10,6 +10,7 @@
 from tanagerspoke.coordination import retry_budget
 from tanagerspoke.coordination import return_times
 from tanagerspoke.coordination import route_statistics
+from tanagerspoke.coordination import subsetting
 from tanagerspoke.coordination import target_queue
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
@@ -66,6 +67,9 @@
 _MIN_QUEUE_LIMIT = 64
 _NO_UPSTREAM_RETRY_AFTER_S = 0.5
 _MIN_RETRY_AFTER_S = 0.05
+# Upstreams that a node prefers: enough for two rounds of probes. They are
+# probed first, and others of the zone if these are busy or slow.
+_PREFERRED_UPSTREAMS = 6
 _MAX_RETRY_AFTER_S = 1.0
 
 
@@ -81,6 +85,7 @@
         probes: probe_rounds.ProbeRounds,
         rng: randomness.Random,
         nodes: int = 1,
+        node: str = "",
     ) -> None:
         """Creates a scheduler without upstreams.
 
@@ -92,7 +97,11 @@
             probes: chooses upstreams to probe.
             rng: random number generator.
             nodes: live nodes that share the upstreams.
+            node: name of this node, which decides which upstreams it prefers.
         """
+        self._node = node
+        self._availability_zone = availability_zone
+        self._preferred: frozenset[str] = frozenset()
         self._budget = budget
         self._probes = probes
         self._rng = rng
@@ -207,6 +216,12 @@
                 self._handle_disconnect(call_id, actions)
             case calls.UpstreamsChanged(upstreams=changed):
                 self._view.set_upstreams(listed=changed, now=now)
+                self._preferred = subsetting.preferred_ids(
+                    node=self._node,
+                    availability_zone=self._availability_zone,
+                    listed=[r.upstream for r in self._view.eligible],
+                    size=_PREFERRED_UPSTREAMS,
+                )
             case calls.DrainMarked(upstream_id=upstream_id):
                 self._view.mark_draining(upstream_id)
             case calls.NoticeReceived(upstream_id=upstream_id, notice=notice):
@@ -342,6 +357,15 @@
                 if fast_only
                 else _ESTIMATED_UTILIZATION_WEIGHT
             ),
+            # Only upstreams with a fresh report can be known to be fast. They
+            # are few, and a sample of all upstreams would miss most of them.
+            candidates=(
+                self._view.recently_reported(
+                    now=now, max_age_s=probe_rounds.MAX_FRESH_AGE_S
+                )
+                if fast_only
+                else None
+            ),
             accept=(
                 functools.partial(probe_rounds.is_fast, now=now)
                 if fast_only
@@ -550,7 +574,12 @@
             and r.paused_until <= now
         ]
         self._rng.shuffle(records)
-        records.sort(key=lambda r: r.local_in_flight)
+        records.sort(
+            key=lambda r: (
+                r.local_in_flight,
+                r.upstream.upstream_id not in self._preferred,
+            )
+        )
         actions.extend(
             calls.Probe(upstream_id=r.upstream.upstream_id)
             for r in self._probes.next_round(
--- a/tanagerspoke/state/loads.py
+++ b/tanagerspoke/state/loads.py
@@ -1,5 +1,6 @@
 """Estimated load of the upstreams of one service, as one process sees it."""
 
+import collections
 from collections.abc import Iterable
 
 from tanagerspoke.protocol import upstreams
@@ -35,6 +36,8 @@
 # older.
 _NO_TRUST_SLOPE = 0.1
 _TRUST_SLOPE_RANGE = 0.25
+# Bounds the memory of recent reports.
+_MAX_RECENT_REPORTS = 512
 
 
 class UpstreamLoad:
@@ -225,6 +228,10 @@
         self.mean_remote_in_flight = 0.0
         self.total_slots = 0
         self._last_pause_ends_at = float("-inf")
+        # Reports in the order in which they arrived, with their times.
+        self._recent: collections.deque[tuple[float, UpstreamLoad]] = (
+            collections.deque(maxlen=_MAX_RECENT_REPORTS)
+        )
         self._mean_local = 1.0
         self._mean_reported = 1.0
         # Initial values as for fresh reports, so a new process trusts reports.
@@ -324,6 +331,7 @@
             max(0, load.in_flight - record.local_in_flight)
         )
         record.reported_at = now
+        self._recent.append((now, record))
         record.host_slowness = load.host_slowness
         if self._exact_for_s is not None:
             record.exact_until = now + self._exact_for_s
@@ -331,6 +339,18 @@
             record.remote_in_flight - self.mean_remote_in_flight
         )
 
+    def recently_reported(
+        self, *, now: float, max_age_s: float
+    ) -> list[UpstreamLoad]:
+        """Returns the eligible upstreams whose last report is recent.
+
+        Older reports are forgotten, so `max_age_s` must not grow.
+        """
+        while self._recent and now - self._recent[0][0] > max_age_s:
+            self._recent.popleft()
+        records = {id(record): record for _, record in self._recent}
+        return [record for record in records.values() if record.is_eligible]
+
     def _update_report_trust(self, *, local: int, reported: int) -> None:
         """Updates the trust in reports from their relation to local calls.
 
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -364,6 +364,7 @@
             ),
             rng=self._rng,
             nodes=self._node_count or 1,
+            node=self._cfg.node,
         )
         created = dispatcher.ServiceDispatcher(
             scheduler=scheduler,
--- a/tests/coordination/test_route_scheduling.py
+++ b/tests/coordination/test_route_scheduling.py
@@ -106,6 +106,49 @@
     assert [d.upstream_id for d in _of_type(actions, calls.Dispatch)] == ["u1"]
 
 
+def test_call_goes_to_a_probed_host_of_a_large_service() -> None:
+    """Guards against probes whose result is not used.
+
+    Of 90 upstreams, a random sample of 16 was considered, which held none of
+    the 3 that were probed for half of the calls. They waited, and further
+    probes were sent for them.
+    """
+    scheduler = _scheduler(90)
+    for call_id in range(1, 21):
+        now = call_id * 1.0
+        actions = _arrive(scheduler, _call(call_id, now=now), now)
+        probed = [p.upstream_id for p in _of_type(actions, calls.Probe)]
+        assert probed
+        dispatched = []
+        for upstream_id in probed:
+            actions = _end_probe(scheduler, upstream_id, _FAST, now + 0.002)
+            dispatched += _of_type(actions, calls.Dispatch)
+            assert _of_type(actions, calls.Probe) == []
+        assert [d.upstream_id for d in dispatched] == [probed[0]]
+        _end_attempt(
+            scheduler, dispatched[0], calls.Answered(status=200), now + 0.1
+        )
+
+
+def test_node_of_a_large_fleet_contacts_few_upstreams() -> None:
+    """Guards against a new connection for nearly every probe and call."""
+    scheduler = _scheduler(90)
+    contacted = set()
+    for call_id in range(1, 101):
+        now = call_id * 1.0
+        actions = _arrive(scheduler, _call(call_id, now=now), now)
+        for probe in _of_type(actions, calls.Probe):
+            contacted.add(probe.upstream_id)
+            for dispatch in _of_type(
+                _end_probe(scheduler, probe.upstream_id, _FAST, now + 0.002),
+                calls.Dispatch,
+            ):
+                _end_attempt(
+                    scheduler, dispatch, calls.Answered(status=200), now + 0.1
+                )
+    assert len(contacted) == 6
+
+
 def test_full_upstreams_get_no_call() -> None:
     """Guards against calls that are queued at a full upstream until they fail.
 
