--- a/tests/coordination/test_route_scheduling.py
+++ b/tests/coordination/test_route_scheduling.py
@@ -137,15 +137,18 @@
     for call_id in range(1, 101):
         now = call_id * 1.0
         actions = _arrive(scheduler, _call(call_id, now=now), now)
-        for probe in _of_type(actions, calls.Probe):
-            contacted.add(probe.upstream_id)
-            for dispatch in _of_type(
-                _end_probe(scheduler, probe.upstream_id, _FAST, now + 0.002),
-                calls.Dispatch,
-            ):
-                _end_attempt(
-                    scheduler, dispatch, calls.Answered(status=200), now + 0.1
-                )
+        dispatched = []
+        probes = _of_type(actions, calls.Probe)
+        while probes:
+            upstream_id = probes.pop(0).upstream_id
+            contacted.add(upstream_id)
+            actions = _end_probe(scheduler, upstream_id, _FAST, now + 0.002)
+            probes += _of_type(actions, calls.Probe)
+            dispatched += _of_type(actions, calls.Dispatch)
+        for dispatch in dispatched:
+            _end_attempt(
+                scheduler, dispatch, calls.Answered(status=200), now + 0.1
+            )
     assert len(contacted) == 6
 
 
