Treat a dropped connection as a full upstream before ejecting it

Cause: a reset without a response counted like any other failure, so three in a row ejected the upstream. Upstreams that reset connections while they are full lost a third of a busy service to ejections.

Ruled out: not counting resets at all (an upstream that resets every request, with good probes, would keep its share of the calls).

Change: a connection that ends before any byte of a response, and before a quarter of the route's median duration, counts as load in full but as half a failure for the ejection.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -72,6 +72,10 @@
         fail_fast: responds with 500 after a short delay and uses no slot.
         crashed: refuses connections.
         frozen: attempts that start never finish, and probes get no response.
+        resets_beyond: if set, an attempt that would make the queue longer than
+            this is reset without a response.
+        probes_fail: probes get no response.
+        fail_share: share of the attempts that get a response 500.
         reported_in_flight: if set, the number in flight in load reports.
         reports_slowness: whether load reports contain `slow_factor`.
     """
@@ -88,6 +92,11 @@
         self.fail_fast = False
         self.crashed = False
         self.frozen = False
+        self.resets_beyond: int | None = None
+        self.probes_fail = False
+        self.fail_share = 0.0
+        self._rng = random.Random(upstream.upstream_id)
+        self.resets = 0
         self.reported_in_flight: int | None = None
         self.reports_slowness = False
         self._clock = clock
@@ -103,7 +112,16 @@
         if self.crashed:
             job.gateway.end_attempt(job, calls.NotSent(), None)
             return
-        if self.fail_fast:
+        if (
+            self.resets_beyond is not None
+            and len(self._queue) >= self.resets_beyond
+            and len(self._running) >= self.upstream.slots
+        ):
+            self.resets += 1
+            job.upstream_done = True
+            job.gateway.end_attempt(job, calls.Broken(dropped=True), None)
+            return
+        if self.fail_fast or self._rng.random() < self.fail_share:
             self._clock.schedule(
                 self._clock.now + _FAST_FAILURE_DELAY_S, self._fail, job
             )
@@ -114,7 +132,7 @@
 
     def probe(self) -> upstreams.LoadReport | None:
         """Returns the load report of a probe; None if it gets no response."""
-        if self.crashed or self.frozen:
+        if self.crashed or self.frozen or self.probes_fail:
             return None
         return self._load_report()
 
--- a/tanagerspoke/coordination/ejection.py
+++ b/tanagerspoke/coordination/ejection.py
@@ -26,9 +26,18 @@
         if record.ramp_starts_at is None:
             record.ejections = 0
 
-    def record_failure(self, *, record: loads.UpstreamLoad, now: float) -> bool:
-        """Records a failure; returns whether it ejects the upstream."""
-        record.consecutive_failures += 1
+    def record_failure(
+        self, *, record: loads.UpstreamLoad, now: float, weight: float = 1.0
+    ) -> bool:
+        """Records a failure; returns whether it ejects the upstream.
+
+        Args:
+            record: the upstream.
+            now: monotonic seconds.
+            weight: less than 1 for a failure that may have another cause than
+                the upstream's health.
+        """
+        record.consecutive_failures += weight
         # An upstream that fails once during the ramp after an ejection has not
         # recovered.
         is_returning = record.ejections and record.ramp_starts_at is not None
--- a/tanagerspoke/coordination/route_statistics.py
+++ b/tanagerspoke/coordination/route_statistics.py
@@ -10,6 +10,15 @@
 # least this multiple of the route's median duration: an attempt with a shorter
 # deadline may time out at a healthy upstream.
 _MIN_TIMEOUT_FAILURE_RATIO = 3.0
+# A connection that ends without a response before this share of the route's
+# median duration was probably dropped by a full upstream, or had been forgotten
+# while it was idle.
+_MAX_FAST_DROP_RATIO = 0.25
+# Such a drop counts as load in full, so that the upstream gets less work for a
+# moment, but only in part for its ejection: a busy service of which each
+# upstream drops some calls must not lose a third of its upstreams. An upstream
+# that drops all its calls is still ejected.
+_FAST_DROP_WEIGHT = 0.5
 # Bounds the ratios of routes whose median is nearly 0.
 _MIN_MEDIAN_S = 0.001
 
@@ -94,6 +103,10 @@
             case calls.WrongUpstream():
                 # Another process listens at the upstream's address now.
                 self._view.mark_draining(record.upstream.upstream_id)
+            case calls.Broken(dropped=True) if ratio < _MAX_FAST_DROP_RATIO:
+                return self._record_failure(
+                    record, now, weight=_FAST_DROP_WEIGHT
+                )
             case _:
                 return self._record_failure(record, now)
         return False
@@ -114,9 +127,13 @@
     def _ratio_to_median(self, call: calls.Call, elapsed_s: float) -> float:
         return elapsed_s / max(_MIN_MEDIAN_S, self.quantile_s(call, 0.5))
 
-    def _record_failure(self, record: loads.UpstreamLoad, now: float) -> bool:
+    def _record_failure(
+        self, record: loads.UpstreamLoad, now: float, *, weight: float = 1.0
+    ) -> bool:
         record.record_failure(now)
-        return self._ejector.record_failure(record=record, now=now)
+        return self._ejector.record_failure(
+            record=record, now=now, weight=weight
+        )
 
     def _durations_for(
         self, call: calls.Call
--- a/tanagerspoke/protocol/calls.py
+++ b/tanagerspoke/protocol/calls.py
@@ -82,7 +82,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Broken:
-    """The exchange failed after bytes of the request had been written."""
+    """The exchange failed after bytes of the request had been written.
+
+    Attributes:
+        dropped: whether the connection ended before any byte of a response.
+            The upstream may be full, or have forgotten the idle connection; it
+            may also have run the call.
+    """
+
+    dropped: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tanagerspoke/state/loads.py
+++ b/tanagerspoke/state/loads.py
@@ -108,7 +108,7 @@
         self.ramp_starts_at: float | None = None
         self.ejected_until = 0.0
         self.paused_until = float("-inf")
-        self.consecutive_failures = 0
+        self.consecutive_failures = 0.0
         self.ejections = 0
 
     @property
--- a/tanagerspoke/transport/upstreams/response_reader.py
+++ b/tanagerspoke/transport/upstreams/response_reader.py
@@ -104,6 +104,11 @@
             auto_decompress=False,
         )
 
+    @property
+    def has_received(self) -> bool:
+        """Whether any byte was received since `begin`."""
+        return self.head is not None or bool(self._received)
+
     def begin(
         self,
         *,
--- a/tanagerspoke/transport/upstreams/upstream_client.py
+++ b/tanagerspoke/transport/upstreams/upstream_client.py
@@ -246,7 +246,8 @@
         if self.watched:
             self._client.report_watch_broken(self)
             return
-        self._fail(calls.Broken(), error)
+        dropped = self.conn is not None and not self.conn.reader.has_received
+        self._fail(calls.Broken(dropped=dropped), error)
 
     def _buffer(self, body: bytes) -> None:
         conn = self.conn
