Keep followers at their relay while it starts to read; fix dropped flag

Garbage also counted as a dropped connection, found by test_attempt_results.

Change: a relay has 0.4 s, which still lies within `drain_s` with the time to detect the reader's failure; a byte of any kind means that the connection was not dropped without a response. The tests of attempt results now state `dropped` for connections closed without any byte.

--- a/tanagerspoke/transport/peers/zone_feed_service.py
+++ b/tanagerspoke/transport/peers/zone_feed_service.py
@@ -33,8 +33,9 @@
 # Interval at which a node that reads the store checks whether to follow another
 # one instead.
 _READER_CHOICE_INTERVAL_S = 1.0
-# Time in which a node that starts to read the store has its first reply.
-_READ_START_S = 0.15
+# Time in which a node that starts to read the store has its first reply, also
+# if the store is slow.
+_READ_START_S = 0.4
 
 
 class ZoneFeedService(mode.Service):
--- a/tanagerspoke/transport/upstreams/response_reader.py
+++ b/tanagerspoke/transport/upstreams/response_reader.py
@@ -49,6 +49,7 @@
         head: status and headers of the final response, or None until they are
             complete.
         done: whether the response is complete.
+        has_received: whether any byte was received since `begin`.
         has_surplus: whether bytes may have been received that belong to no
             request; the connection must not be reused then.
     """
@@ -65,6 +66,7 @@
         "_payload",
         "_received",
         "done",
+        "has_received",
         "head",
         "has_surplus",
     )
@@ -86,6 +88,7 @@
         self._body_bytes = 0
         self.head: http.RawResponseMessage | None = None
         self.done = True
+        self.has_received = False
         self.has_surplus = False
 
     def _make_parser(self, *, with_body: bool) -> http.HttpResponseParser:
@@ -104,11 +107,6 @@
             auto_decompress=False,
         )
 
-    @property
-    def has_received(self) -> bool:
-        """Whether any byte was received since `begin`."""
-        return self.head is not None or bool(self._received)
-
     def begin(
         self,
         *,
@@ -123,6 +121,7 @@
         self._accepts_head = accepts
         self.head = None
         self.done = False
+        self.has_received = False
         self._received = bytearray()
         self._interim_responses = 0
         self._skipped_responses = 0
@@ -143,6 +142,7 @@
         if self.done:
             self.has_surplus = True
             return b""
+        self.has_received = True
         parser = self._no_body_parser or self._parser
         try:
             messages, upgraded, _ = parser.feed_data(data)
--- a/tests/transport/upstreams/test_upstream_client.py
+++ b/tests/transport/upstreams/test_upstream_client.py
@@ -136,7 +136,7 @@
 @pytest.mark.parametrize(
     ("response_for", "result"),
     [
-        (lambda request_id: b"", calls.Broken()),
+        (lambda request_id: b"", calls.Broken(dropped=True)),
         (lambda request_id: make_response(request_id)[:-1], calls.Broken()),
         (lambda request_id: b"garbage\r\n\r\n", calls.Broken()),
         (lambda request_id: make_response("other"), calls.Crossed()),
@@ -191,7 +191,8 @@
     harness = Harness()
     async with harness.serving(script):
         assert (await harness.run("r1")).response is not None
-        assert (await harness.run("r2")).result == calls.Broken()
+        broken = calls.Broken(dropped=True)
+        assert (await harness.run("r2")).result == broken
 
 
 async def test_duplicate_response_never_answers_next_request() -> None:
