Probe silent upstreams last, and don't let one probe hold up a round

Cause: a node probes its preferred upstreams first. If these stop to respond, each round consisted of the same silent upstreams and lasted until the probes timed out (0.1 s).

Ruled out: a random order among all upstreams of the zone (opens a connection for nearly every probe).

Change: an upstream whose probe got no response is probed after the others for 0.25 s, doubled with each further one up to 8 s. A round lasts 15 ms; slower probes don't delay the next one. Drain marks that are undone end in gateways that stay up; `Expect` values other than 100-continue get 417; a caller that reads too slowly is logged as such and not as a broken upstream; a scheduler error no longer ends the ticks.

--- a/tanagerspoke/coordination/probe_rounds.py
+++ b/tanagerspoke/coordination/probe_rounds.py
@@ -13,6 +13,8 @@
 # A host that is slower than usual by more than this factor only gets calls that
 # can't wait longer for a faster one.
 MAX_FAST_HOST_SLOWNESS = 1.5
+# Time in which an upstream responds to a probe.
+ROUND_DURATION_S = 0.015
 # Probes in one round: few for a single queued call, more for many.
 _MIN_ROUND_SIZE = 3
 _MAX_ROUND_SIZE = 8
@@ -40,7 +42,8 @@
         """
         self._zone = availability_zone
         self._rate_per_upstream_s = rate_per_upstream_s
-        self._pending: set[str] = set()
+        # Start times of the probes that have not ended.
+        self._pending: dict[str, float] = {}
         self._responses_without_report = 0
         self._any_report = False
         self._reported_at = float("-inf")
@@ -74,7 +77,7 @@
             reported: whether the response carried a load report.
             responded: whether there was a response.
         """
-        self._pending.discard(upstream_id)
+        self._pending.pop(upstream_id, None)
         if reported:
             self._any_report = True
         elif responded:
@@ -89,7 +92,9 @@
         nodes: int,
         now: float,
     ) -> list[loads.UpstreamLoad]:
-        """Returns upstreams to probe now; none while probes are pending.
+        """Returns upstreams to probe now; none during a round.
+
+        A probe that takes longer than a round does not hold up the next one.
 
         Args:
             records: candidates, the preferred ones first.
@@ -98,17 +103,24 @@
             nodes: number of nodes that share the upstreams.
             now: monotonic seconds.
         """
-        if not self.reports_load or self._pending or not records:
+        round_started_at = max(self._pending.values(), default=float("-inf"))
+        in_round = now - round_started_at < ROUND_DURATION_S
+        if not self.reports_load or in_round or not records:
             return []
         self._refill(len(records), nodes, now)
-        stale = [r for r in records if r.report_age_s(now) > MAX_FRESH_AGE_S]
+        stale = [
+            r
+            for r in records
+            if r.report_age_s(now) > MAX_FRESH_AGE_S
+            and r.upstream.upstream_id not in self._pending
+        ]
         if not all_zones:
             same_zone = [r for r in stale if self._is_same_zone(r.upstream)]
             stale = same_zone or stale
         round_size = min(max(queued_calls, _MIN_ROUND_SIZE), _MAX_ROUND_SIZE)
         chosen = stale[: min(round_size, int(self._tokens))]
         self._tokens -= len(chosen)
-        self._pending.update(r.upstream.upstream_id for r in chosen)
+        self._pending.update((r.upstream.upstream_id, now) for r in chosen)
         return chosen
 
     def _is_same_zone(self, upstream: upstreams.Upstream) -> bool:
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -45,12 +45,10 @@
 # A call that can no longer meet its target stays queued for at most this share
 # of its target latency; it is then refused with a delay before a retry.
 _MAX_LATE_WAIT_SHARE = 0.5
-# Time in the queue after which upstreams of all zones are probed: the duration
-# of a round of probes.
-_LOCAL_ZONE_ONLY_S = 0.015
-# Delay until a hedge that could not be sent is tried again: the duration of a
-# round of probes.
-_HEDGE_RECHECK_S = 0.015
+# Time in the queue after which upstreams of all zones are probed.
+_LOCAL_ZONE_ONLY_S = probe_rounds.ROUND_DURATION_S
+# Delay until a hedge that could not be sent is tried again.
+_HEDGE_RECHECK_S = probe_rounds.ROUND_DURATION_S
 _MAX_HEDGE_TRIES = 5
 # The load of upstreams is partly an estimate, so emptier ones are safer.
 _ESTIMATED_UTILIZATION_WEIGHT = 8.0
@@ -283,6 +281,10 @@
         )
         if event.load is not None:
             self._apply_report(event.upstream_id, event.load, now)
+            return
+        record = self._view.get(event.upstream_id)
+        if record is not None:
+            record.record_probe_failure(now)
 
     def _choose_for_queued(
         self, queued_call: target_queue.QueuedCall, now: float
@@ -577,6 +579,7 @@
         records.sort(
             key=lambda r: (
                 r.local_in_flight,
+                r.probe_last_until > now,
                 r.upstream.upstream_id not in self._preferred,
             )
         )
--- a/tanagerspoke/protocol/errors.py
+++ b/tanagerspoke/protocol/errors.py
@@ -36,6 +36,7 @@
     KEY_REUSED = "key_reused"
     RATE_LIMITED = "rate_limited"
     CONCURRENCY_LIMITED = "concurrency_limited"
+    EXPECTATION_FAILED = "expectation_failed"
     HEADER_TOO_LARGE = "header_too_large"
     HEADER_TIMEOUT = "header_timeout"
     QUEUE_TIMEOUT = "queue_timeout"
@@ -65,6 +66,7 @@
     ErrorCode.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
     ErrorCode.RATE_LIMITED: http.HTTPStatus.TOO_MANY_REQUESTS,
     ErrorCode.CONCURRENCY_LIMITED: http.HTTPStatus.TOO_MANY_REQUESTS,
+    ErrorCode.EXPECTATION_FAILED: http.HTTPStatus.EXPECTATION_FAILED,
     ErrorCode.HEADER_TOO_LARGE: (
         http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
     ),
--- a/tanagerspoke/state/loads.py
+++ b/tanagerspoke/state/loads.py
@@ -36,6 +36,10 @@
 # older.
 _NO_TRUST_SLOPE = 0.1
 _TRUST_SLOPE_RANGE = 0.25
+# An upstream whose probe got no response is probed after the others for a time
+# that doubles with each further one.
+_MIN_PROBE_LAST_S = 0.25
+_MAX_PROBE_LAST_S = 8.0
 # Bounds the memory of recent reports.
 _MAX_RECENT_REPORTS = 512
 
@@ -62,6 +66,9 @@
             the future while it is ejected, None where the limit is not
             reduced.
         ejected_until: end of its ejection.
+        probe_failures: probes without a response since the last report.
+        probe_last_until: time until which it is probed after the others,
+            because its last probes got no response.
         paused_until: end of the pause that it asked for; it gets neither calls
             nor probes before.
     """
@@ -85,6 +92,8 @@
         "ramp_starts_at",
         "ejected_until",
         "paused_until",
+        "probe_failures",
+        "probe_last_until",
         "consecutive_failures",
         "ejections",
     )
@@ -108,6 +117,8 @@
         self.ramp_starts_at: float | None = None
         self.ejected_until = 0.0
         self.paused_until = float("-inf")
+        self.probe_failures = 0
+        self.probe_last_until = float("-inf")
         self.consecutive_failures = 0.0
         self.ejections = 0
 
@@ -116,6 +127,11 @@
         """Whether the upstream may get new calls, unless it is ejected."""
         return self.listed and not self.draining and not self.upstream.leaving
 
+    @property
+    def reports_draining(self) -> bool:
+        """Whether the upstream itself last reported that it is draining."""
+        return self.phase is upstreams.UpstreamPhase.DRAINING
+
     def in_flight(
         self, *, now: float, mean_remote_in_flight: float, trust: float
     ) -> float:
@@ -189,6 +205,14 @@
         if ratio > self.current_slowness(now):
             self.record_duration(ratio=ratio, pull=False, now=now)
 
+    def record_probe_failure(self, now: float) -> None:
+        """Records a probe without a response."""
+        delay_s = min(
+            _MAX_PROBE_LAST_S, _MIN_PROBE_LAST_S * 2.0**self.probe_failures
+        )
+        self.probe_failures = min(16, self.probe_failures + 1)
+        self.probe_last_until = now + delay_s
+
     def record_failure(self, now: float) -> None:
         """Counts a failure as load.
 
@@ -261,6 +285,9 @@
                 # reduce its limits at all of them.
                 record.ramp_starts_at = None if is_first_list else now
                 self._records[upstream.upstream_id] = record
+            drain_ended = record.upstream.leaving and not upstream.leaving
+            if drain_ended and not record.reports_draining:
+                record.draining = False
             record.upstream = upstream
             record.slots = max(1, upstream.slots)
             record.listed = True
@@ -331,6 +358,8 @@
             max(0, load.in_flight - record.local_in_flight)
         )
         record.reported_at = now
+        record.probe_failures = 0
+        record.probe_last_until = float("-inf")
         self._recent.append((now, record))
         record.host_slowness = load.host_slowness
         if self._exact_for_s is not None:
--- a/tanagerspoke/transport/callers/caller_server.py
+++ b/tanagerspoke/transport/callers/caller_server.py
@@ -333,6 +333,7 @@
         record: caller_calls.CallRecord,
     ) -> caller_calls.CallerRequest:
         limits = self._limits()
+        _check_expectation(message)
         caller_headers.check_header_size(
             message.raw_headers, limits.max_header_bytes
         )
@@ -454,7 +455,15 @@
                 await self._write_streamed_response(conn, call, caller_resp)
             is_complete = True
             record.code = "ok"
-        except (exceptions.UpstreamError, TimeoutError) as exc:
+        except TimeoutError:
+            # The upstream's exchange ends at the deadline; only a caller that
+            # reads slowly is still at it.
+            record.code = "caller_too_slow"
+            if self._broken_response_log_limit.try_acquire(
+                record.client_account
+            ):
+                log.warning("caller_too_slow", extra=_log_fields(record))
+        except exceptions.UpstreamError as exc:
             record.code = errors.ErrorCode.UPSTREAM_BROKEN.value
             if self._broken_response_log_limit.try_acquire(
                 record.client_account
@@ -540,6 +549,15 @@
     )
 
 
+def _check_expectation(message: aiohttp_http.RawRequestMessage) -> None:
+    expected = message.headers.get("Expect", "100-continue")
+    if expected.lower() != "100-continue":
+        raise exceptions.CallRefusedError(
+            code=errors.ErrorCode.EXPECTATION_FAILED,
+            message="header Expect allows 100-continue only",
+        )
+
+
 def _write_or_raise(
     conn: caller_connection.CallerConnection, data: bytes
 ) -> None:
--- a/tanagerspoke/transport/upstreams/dispatcher.py
+++ b/tanagerspoke/transport/upstreams/dispatcher.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import dataclasses
 import functools
+import logging
 from typing import Protocol
 
 from tanagerspoke import exceptions
@@ -14,6 +15,10 @@
 from tanagerspoke.transport.upstreams import upstream_client
 from tanagerspoke.transport.upstreams import upstream_dialect
 
+log = logging.getLogger(__name__)
+
+# Delay of the next tick after an unexpected error of the scheduler.
+_RETRY_TICK_S = 0.1
 # A load report that takes longer is out of date when it arrives.
 _PROBE_TIMEOUT_S = 0.1
 
@@ -473,4 +478,12 @@
     def _on_timer(self) -> None:
         self._timer = None
         self._wakeup_at = None
-        self.handle(calls.Tick())
+        try:
+            self.handle(calls.Tick())
+        except Exception:
+            # Without another tick, queued calls would wait until an event.
+            log.exception("scheduler_failed")
+            self._wakeup_at = self._clock() + _RETRY_TICK_S
+            self._timer = asyncio.get_running_loop().call_later(
+                _RETRY_TICK_S, self._on_timer
+            )
--- a/tests/state/test_loads.py
+++ b/tests/state/test_loads.py
@@ -1,5 +1,6 @@
 """Estimated load of the upstreams of a service."""
 
+import dataclasses
 import random
 
 import hypothesis
@@ -49,6 +50,39 @@
     assert view.get("u0").local_in_flight == 3
 
 
+def test_drain_that_is_undone_ends():
+    """Guards against an upstream that stays out of use until a restart.
+
+    Its drain mark was removed, but the gateway had marked it as draining.
+    """
+    view = loads.LoadView()
+    (listed,) = helpers.make_upstreams(1)
+    view.set_upstreams(listed=[listed], now=0.0)
+    view.mark_draining("u0")
+    marked = dataclasses.replace(listed, leaving=True)
+    view.set_upstreams(listed=[marked], now=1.0)
+    assert view.eligible == []
+    view.set_upstreams(listed=[listed], now=2.0)
+    assert [r.upstream.upstream_id for r in view.eligible] == ["u0"]
+
+
+def test_upstream_that_reports_draining_stays_out_of_use():
+    """Guards against a list that overrules an upstream's own report."""
+    view = loads.LoadView()
+    (listed,) = helpers.make_upstreams(1)
+    marked = dataclasses.replace(listed, leaving=True)
+    view.set_upstreams(listed=[marked], now=0.0)
+    view.record_report(
+        record=view.get("u0"),
+        load=upstreams.LoadReport(
+            in_flight=0, slots=3, phase=upstreams.UpstreamPhase.DRAINING
+        ),
+        now=0.5,
+    )
+    view.set_upstreams(listed=[listed], now=1.0)
+    assert view.eligible == []
+
+
 def test_returning_upstream_ramps_up():
     """Guards against a returning upstream that gets its full load at once."""
     record = loads.UpstreamLoad(upstream=helpers.make_upstreams(1, slots=4)[0])
--- a/tests/transport/test_edge_service.py
+++ b/tests/transport/test_edge_service.py
@@ -611,6 +611,17 @@
             b"X-Attempt-Id: q1\r\nX-Deadline-Ms: soon\r\n\r\n",
             400,
         ),
+        (
+            b"GET /read/x HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Attempt-Id: q1\r\nX-Deadline-Ms: " + b"9" * 3000 + b"\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST /write/x HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Attempt-Id: q1\r\nContent-Length: 3\r\n"
+            b"Expect: a miracle\r\n\r\n",
+            417,
+        ),
         (
             b"GET /read/x HTTP/1.1\r\nHost: shop.example\r\n"
             b"X-Attempt-Id: q1\r\nX-Long: " + b"x" * 8000 + b"\r\n\r\n",
