--- a/tests/transport/test_edge_service.py
+++ b/tests/transport/test_edge_service.py
@@ -341,6 +341,44 @@
         assert [worker.requests for worker in cluster.workers] == requests
 
 
+async def test_split_part_without_workers_is_refused_not_moved() -> None:
+    """Guards against a share of a split that another service gets instead.
+
+    One part has no workers, and one is not a service of the manifest. Their
+    shares are refused at once with a time to come back.
+    """
+    async with edge_stack.run(workers=1) as cluster:
+        await cluster.wait_ready()
+        routes = json.loads(edge_stack.manifest(1))["routes"]
+        split = [
+            {"service": "shop", "weight": 50},
+            {"service": "empty", "weight": 30},
+            {"service": "unknown", "weight": 20},
+            {"service": "retired", "weight": 0},
+        ]
+        await cluster.store.put(
+            "op",
+            "config",
+            edge_stack.manifest(
+                2,
+                routes={"r": routes["r-read"] | {"traffic_split": split}},
+                services={"shop": {"health_path": "/healthy"}, "empty": {}},
+            ),
+        )
+        await _wait_in_force(cluster, 2, [0])
+        statuses = []
+        for number in range(100):
+            async with cluster.request(
+                "GET", "/read/x", request_id=f"q{number}"
+            ) as resp:
+                statuses.append(resp.status)
+                if resp.status == 503:
+                    assert float(resp.headers["Retry-After"]) > 0
+        assert abs(statuses.count(200) - 50) <= 4
+        assert abs(statuses.count(503) - 50) <= 4
+        assert len(cluster.workers[0].ran) == statuses.count(200)
+
+
 async def test_other_worker_at_the_address_runs_nothing() -> None:
     """Guards against a request run by a worker that it is not meant for.
 
