--- a/tanagerspoke/transport/agent_service.py
+++ b/tanagerspoke/transport/agent_service.py
@@ -15,6 +15,7 @@
 from tanagerspoke.state import revisions
 from tanagerspoke.transport.operations import admin_server
 from tanagerspoke.transport.operations import agent_metrics
+from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.peers import gateway_feed
 from tanagerspoke.transport.peers import grpc_agent
 from tanagerspoke.transport.peers import grpc_peer
@@ -142,6 +143,7 @@
         await self._platform.close()
 
     @mode.Service.task
+    @supervision.restarted
     async def _expire_gateways(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_GATEWAY_EXPIRY_INTERVAL_S)
--- a/tanagerspoke/transport/peers/agent_link.py
+++ b/tanagerspoke/transport/peers/agent_link.py
@@ -8,6 +8,7 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.protocol import agent
+from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.peers import grpc_agent
 
 log = logging.getLogger(__name__)
@@ -59,6 +60,7 @@
         self._revision = revision
 
     @mode.Service.task
+    @supervision.restarted
     async def _follow(self) -> None:
         request = agent.SubscribeRequest(gateway_id=self._gateway_id)
         while not self.should_stop:
@@ -102,6 +104,7 @@
         return True
 
     @mode.Service.task
+    @supervision.restarted
     async def _send_observations(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_OBSERVE_INTERVAL_S)
--- a/tanagerspoke/transport/peers/peer_service.py
+++ b/tanagerspoke/transport/peers/peer_service.py
@@ -17,6 +17,7 @@
 from tanagerspoke.protocol import randomness
 from tanagerspoke.settings import options
 from tanagerspoke.transport.operations import agent_metrics
+from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.peers import grpc_peer
 from tanagerspoke.transport.store import control_meter
 
@@ -153,6 +154,7 @@
         )
 
     @mode.Service.task
+    @supervision.restarted
     async def _tick(self) -> None:
         while not self.should_stop:
             self._handle(membership.Tick())
--- a/tanagerspoke/transport/store/config_service.py
+++ b/tanagerspoke/transport/store/config_service.py
@@ -17,6 +17,7 @@
 from tanagerspoke.protocol import platform
 from tanagerspoke.protocol import randomness
 from tanagerspoke.state import revisions
+from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.peers import grpc_peer
 from tanagerspoke.transport.store import control_meter
 from tanagerspoke.transport.store import metered_platform
@@ -77,6 +78,7 @@
         self._handle(configuration.PeerHint(host=host, revision=revision))
 
     @mode.Service.task
+    @supervision.restarted
     async def _follow(self) -> None:
         while not self.should_stop:
             read = self._handle(configuration.Tick())
--- a/tanagerspoke/transport/store/control_meter.py
+++ b/tanagerspoke/transport/store/control_meter.py
@@ -11,6 +11,7 @@
 from tanagerspoke.coordination import budget
 from tanagerspoke.settings import options
 from tanagerspoke.transport.operations import agent_metrics
+from tanagerspoke.transport.operations import supervision
 
 log = logging.getLogger(__name__)
 
@@ -57,6 +58,7 @@
         )
 
     @mode.Service.task
+    @supervision.restarted
     async def _sample_usage(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_SAMPLE_INTERVAL_S)
--- a/tanagerspoke/transport/store/host_service.py
+++ b/tanagerspoke/transport/store/host_service.py
@@ -11,6 +11,7 @@
 from tanagerspoke.protocol import platform
 from tanagerspoke.protocol import randomness
 from tanagerspoke.state import revisions
+from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.store import metered_platform
 
 log = logging.getLogger(__name__)
@@ -51,12 +52,14 @@
         self._known_version = -1
 
     @mode.Service.task
+    @supervision.restarted
     async def _poll_hosts(self) -> None:
         while not self.should_stop:
             delay_s = await self._poll_once(self._read_hosts)
             await asyncio.sleep(delay_s)
 
     @mode.Service.task
+    @supervision.restarted
     async def _poll_drains(self) -> None:
         while not self.should_stop:
             delay_s = await self._poll_once(self._read_drains)
--- a/tanagerspoke/transport/store/probe_service.py
+++ b/tanagerspoke/transport/store/probe_service.py
@@ -15,6 +15,7 @@
 from tanagerspoke.protocol import headers
 from tanagerspoke.protocol import randomness
 from tanagerspoke.protocol import upstreams
+from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.store import control_meter
 
 log = logging.getLogger(__name__)
@@ -72,6 +73,7 @@
             await self._session.close()
 
     @mode.Service.task
+    @supervision.restarted
     async def _start_probes(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_TICK_INTERVAL_S)
--- a/tanagerspoke/transport/store/status_service.py
+++ b/tanagerspoke/transport/store/status_service.py
@@ -11,6 +11,7 @@
 from tanagerspoke.coordination import budget
 from tanagerspoke.protocol import platform
 from tanagerspoke.state import revisions
+from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.store import metered_platform
 
 log = logging.getLogger(__name__)
@@ -44,6 +45,7 @@
         self._written_at = 0.0
 
     @mode.Service.task
+    @supervision.restarted
     async def _update_row(self) -> None:
         while not self.should_stop:
             status = self._read_status()
--- a/tests/processes/test_endless_responses.py
+++ b/tests/processes/test_endless_responses.py
@@ -71,7 +71,7 @@
     async with contextlib.AsyncExitStack() as exit_stack:
         servers = [
             await exit_stack.enter_async_context(
-                tcp_server.TcpServer(handler_for(number))
+                tcp_server.TcpServer(handler=handler_for(number))
             )
             for number in range(_WORKERS)
         ]
--- a/tests/processes/test_slow_readers.py
+++ b/tests/processes/test_slow_readers.py
@@ -100,7 +100,7 @@
     response that ends early must not look complete meanwhile.
     """
     fleet = edge_fleet.EdgeFleet(directory=tmp_path)
-    async with tcp_server.TcpServer(_respond) as server:
+    async with tcp_server.TcpServer(handler=_respond) as server:
         writers = []
         try:
             await fleet.start()
--- a/tests/tcp_server.py
+++ b/tests/tcp_server.py
@@ -18,7 +18,7 @@
     end, and all connections are closed.
     """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, *, handler: Handler) -> None:
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
--- a/tests/transport/test_gateway_service.py
+++ b/tests/transport/test_gateway_service.py
@@ -83,7 +83,7 @@
         exit_stack = contextlib.AsyncExitStack()
         servers = [
             await exit_stack.enter_async_context(
-                tcp_server.TcpServer(_run_script(script))
+                tcp_server.TcpServer(handler=_run_script(script))
             )
             for script in scripts
         ]
--- a/tests/transport/upstreams/test_upstream_client.py
+++ b/tests/transport/upstreams/test_upstream_client.py
@@ -54,7 +54,7 @@
             self.connections += 1
             await script(reader, writer, self.connections)
 
-        async with tcp_server.TcpServer(on_connection) as server:
+        async with tcp_server.TcpServer(handler=on_connection) as server:
             self.port = server.port
             await self.client.start()
             try:
