Move refusals to a module, and plan returns by the node's share of slots

Change: return times assume the larger of the attempts in flight and the node's share of the slots; any failure in the ramp after an ejection ejects again.

--- a/tanagerspoke/coordination/ejection.py
+++ b/tanagerspoke/coordination/ejection.py
@@ -41,8 +41,10 @@
         # An upstream that fails once during the ramp after an ejection has not
         # recovered.
         is_returning = record.ejections and record.ramp_starts_at is not None
-        failures_needed = 1 if is_returning else _CONSECUTIVE_FAILURES
-        if record.consecutive_failures < failures_needed:
+        if (
+            not is_returning
+            and record.consecutive_failures < _CONSECUTIVE_FAILURES
+        ):
             return False
         if record.ejected_until > now or not self._may_eject(now):
             return False
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -6,9 +6,9 @@
 from tanagerspoke.coordination import balancing
 from tanagerspoke.coordination import call_attempts
 from tanagerspoke.coordination import probe_rounds
+from tanagerspoke.coordination import refusals
 from tanagerspoke.coordination import retries
 from tanagerspoke.coordination import retry_budget
-from tanagerspoke.coordination import return_times
 from tanagerspoke.coordination import route_statistics
 from tanagerspoke.coordination import subsetting
 from tanagerspoke.coordination import target_queue
@@ -21,10 +21,6 @@
 # A hedge starts once the first attempt has run longer than this quantile of
 # the route's recent attempt durations.
 _HEDGE_QUANTILE = 0.8
-# Quantile that is used as the expected duration of an attempt. A queued call
-# that would end after its target is late; a hedge that would do so is deferred
-# to the time of a late hedge.
-_EXPECTED_DURATION_QUANTILE = 0.4
 # Late hedge: an idempotent call without a response after its target is hedged
 # once its attempt has run for this multiple of a high quantile of durations.
 _LATE_HEDGE_RATIO = 1.5
@@ -63,12 +59,9 @@
 _RECHECK_INTERVAL_S = 0.01
 _MAX_QUEUED_PER_SLOT = 16
 _MIN_QUEUE_LIMIT = 64
-_NO_UPSTREAM_RETRY_AFTER_S = 0.5
-_MIN_RETRY_AFTER_S = 0.05
 # Upstreams that a node prefers: enough for two rounds of probes. They are
 # probed first, and others of the zone if these are busy or slow.
 _PREFERRED_UPSTREAMS = 6
-_MAX_RETRY_AFTER_S = 1.0
 
 
 class RouteScheduler:
@@ -113,7 +106,9 @@
         )
         self._statistics = route_statistics.RouteStatistics(view=self._view)
         self._queue = target_queue.TargetQueue()
-        self._return_times = return_times.ReturnTimes()
+        self._refusals = refusals.Refusals(
+            view=self._view, statistics=self._statistics, rng=rng
+        )
         self._calls = call_attempts.OpenCalls()
         self._local_in_flight = 0
         self._recheck_at: float | None = None
@@ -143,7 +138,7 @@
         """Returns the refusal that the call would get now, or None."""
         if now >= call.deadline:
             return self._refusal(call, errors.ErrorCode.QUEUE_TIMEOUT, now)
-        code = self._unservable_code(call, now)
+        code = self._refusals.unservable_code(call, now)
         if code is not None:
             return self._refusal(call, code, now)
         limit = max(
@@ -153,50 +148,18 @@
             return self._refusal(call, errors.ErrorCode.QUEUE_FULL, now)
         return None
 
-    def _unservable_code(
-        self, call: calls.Call, now: float
-    ) -> errors.ErrorCode | None:
-        """Returns why no upstream will accept the call in time, or None."""
-        if not self._view.eligible:
-            return errors.ErrorCode.NO_UPSTREAM
-        paused_until = self._view.paused_until(now)
-        if paused_until is not None and paused_until > self._latest_start_at(
-            call
-        ):
-            return errors.ErrorCode.UPSTREAM_SHED
-        return None
-
-    def _latest_start_at(self, call: calls.Call) -> float:
-        expected_s = self._statistics.quantile_s(
-            call, _EXPECTED_DURATION_QUANTILE
-        )
-        return (call.target_at or call.deadline) - expected_s
-
     def _refusal(
         self, call: calls.Call, code: errors.ErrorCode, now: float
     ) -> calls.Refuse:
-        return calls.Refuse(
-            call_id=call.call_id,
-            code=code,
-            retry_after_s=self._return_delay_s(call, now),
-        )
-
-    def _return_delay_s(self, call: calls.Call, now: float) -> float:
-        """Returns the delay after which a refused caller may return."""
-        if not self._view.eligible:
-            first_at = now + _NO_UPSTREAM_RETRY_AFTER_S
-        else:
-            first_at = self._view.paused_until(now) or (
-                now + self._expected_wait_s(call)
-            )
-        delay_s = self._return_times.next_delay_s(
-            priority=call.priority,
-            first_at=first_at,
-            interval_s=self._expected_interval_s(call),
+        return self._refusals.refuse(
+            call,
+            code,
+            queued_calls=len(self._queue),
+            parallel_calls=max(
+                self._local_in_flight, self._view.total_slots / self._nodes
+            ),
             now=now,
         )
-        # The random factor separates the callers of different nodes.
-        return max(_MIN_RETRY_AFTER_S, delay_s) * self._rng.uniform(1.0, 1.2)
 
     def handle(
         self, *, event: calls.SchedulerEvent, now: float
@@ -251,7 +214,7 @@
         state.queued = True
         state.queued_at = now
         target_at = call.target_at or call.deadline
-        latest_start_at = self._latest_start_at(call)
+        latest_start_at = self._refusals.latest_start_at(call)
         expected_s = target_at - latest_start_at
         late_wait_s = _MAX_LATE_WAIT_SHARE * (target_at - call.arrived_at)
         self._queue.push(
@@ -535,8 +498,10 @@
         self, now: float, actions: list[calls.SchedulerAction]
     ) -> None:
         """Refuses queued calls that no upstream will accept in time."""
+        if not self._refusals.may_be_needed(now):
+            return
         for state in self._queued_states():
-            code = self._unservable_code(state.call, now)
+            code = self._refusals.unservable_code(state.call, now)
             if code is None:
                 continue
             self._queue.remove(state.call.call_id)
@@ -600,7 +565,7 @@
         call = state.call
         at = now + self._statistics.quantile_s(call, _HEDGE_QUANTILE)
         expected_s = self._statistics.quantile_s(
-            call, _EXPECTED_DURATION_QUANTILE
+            call, refusals.EXPECTED_DURATION_QUANTILE
         )
         if at + expected_s > (call.target_at or call.deadline):
             at = self._late_hedge_at(call, now)
@@ -661,13 +626,3 @@
             call, _LATE_HEDGE_QUANTILE
         )
         return max(call.target_at or call.deadline, started_at + min_elapsed_s)
-
-    def _expected_wait_s(self, call: calls.Call) -> float:
-        """Returns the time in which the queue is expected to be served."""
-        wait_s = len(self._queue) * self._expected_interval_s(call)
-        return min(_MAX_RETRY_AFTER_S, wait_s)
-
-    def _expected_interval_s(self, call: calls.Call) -> float:
-        """Returns the expected time between two starts of calls."""
-        parallel = max(1, self._local_in_flight)
-        return self._statistics.quantile_s(call, 0.5) / parallel
--- a/tests/coordination/test_load_patterns.py
+++ b/tests/coordination/test_load_patterns.py
@@ -118,6 +118,7 @@
         route: str = "read",
         idempotent: bool = True,
         priority: int = 1,
+        node_weights: tuple[float, ...] = (1.0,) * _NODES,
     ) -> None:
         """Schedules calls of a route at random times."""
         at = from_s
@@ -139,7 +140,7 @@
                 max_attempts=3 if idempotent else 1,
                 priority=priority,
             )
-            node = self._rng.choice(self.nodes)
+            (node,) = self._rng.choices(self.nodes, weights=node_weights)
             self.clock.schedule(at, node.receive_call, call)
 
     def at(self, at_s: float, change: Callable[[], None]) -> None:
@@ -249,6 +250,28 @@
     assert statistics.quantiles(waits, n=100)[89] < 0.05
 
 
+def test_zone_with_more_callers_than_the_others() -> None:
+    """Guards against calls that wait in a full zone while others have room.
+
+    Pattern: two thirds of the calls arrive in one of three zones, 1.5 times
+    what its own upstreams can do, at 75 % of the capacity of all.
+    """
+    fleet = _Fleet(upstreams=36)
+    fleet.offer(
+        rate_per_s=_rate(0.75, upstreams=36),
+        until_s=6.0,
+        node_weights=(4.0, 1.0, 1.0),
+    )
+    records = fleet.run()
+    assert _in_time_share(records) > 0.95
+    by_zone = collections.Counter(
+        "abc"[int(name[1:]) % 3]
+        for name, sent in fleet.sent.items()
+        for _ in sent
+    )
+    assert max(by_zone.values()) < 1.5 * min(by_zone.values())
+
+
 def test_flapping_upstream_earns_trust_slowly() -> None:
     """Guards against calls lost to an upstream that goes down and up by turns.
 
