--- a/tests/processes/test_endless_responses.py
+++ b/tests/processes/test_endless_responses.py
@@ -3,18 +3,16 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
-import json
 import logging
 import pathlib
 import time
 
 import aiohttp
-import msgspec
 
 from bench import edge_fleet
-from tanagerspoke.platform import wire
 from tests import stack as stacks
 from tests import tcp_server
+from tests.processes import raw_workers
 
 log = logging.getLogger(__name__)
 
@@ -78,37 +76,6 @@
         yield [server.port for server in servers]
 
 
-async def _register(fleet: edge_fleet.EdgeFleet, ports: list[int]) -> None:
-    rows = tuple(
-        wire.TransactionRow(
-            table=wire.WORKERS_TABLE,
-            key=f"nonsense-{port}",
-            value=json.dumps(
-                {
-                    "service": "catalogue",
-                    "address": f"127.0.0.1:{port}",
-                    "zone": "a",
-                    "slots": 3,
-                    "state": "ready",
-                    "seq_no": 1,
-                    "born": 1000,
-                }
-            ).encode(),
-        )
-        for port in ports
-    )
-    url = f"http://127.0.0.1:{fleet.store_port}/rows-tx"
-    data = msgspec.json.encode(wire.Transaction(set_keys=rows))
-    async with fleet.http.post(url, data=data) as resp:
-        assert resp.status == 200
-
-
-def _memory_mb(pid: int) -> float:
-    status = pathlib.Path(f"/proc/{pid}/status").read_text()
-    (line,) = [x for x in status.splitlines() if x.startswith("VmRSS")]
-    return int(line.split()[1]) / 1024
-
-
 def _cpu_s(pid: int) -> float:
     fields = pathlib.Path(f"/proc/{pid}/stat").read_text().split(") ")[1]
     user, system = fields.split()[11:13]
@@ -145,7 +112,10 @@
     """
     fleet = edge_fleet.EdgeFleet(directory=tmp_path)
     contacted: set[int] = set()
-    async with _nonsense_workers(contacted) as ports:
+    async with (
+        _nonsense_workers(contacted) as ports,
+        contextlib.AsyncExitStack() as exit_stack,
+    ):
         try:
             await fleet.start()
             node = fleet.add_node("edge-1", "a")
@@ -155,7 +125,11 @@
             await fleet.start_worker(
                 "good", "/pull/", zone="a", port=port, advertised_port=port
             )
-            await _register(fleet, ports)
+            await exit_stack.enter_async_context(
+                raw_workers.registered(
+                    fleet, service="catalogue", ports=ports, slots=3
+                )
+            )
             await stacks.wait_until(lambda: fleet.is_ready(node), "readiness")
 
             async def is_served() -> bool:
@@ -164,7 +138,7 @@
 
             await stacks.wait_until(is_served, "the good worker")
             pid = fleet["edge-1"].pid
-            memory_before_mb = _memory_mb(pid)
+            memory_before_mb = raw_workers.memory_mb(pid)
             cpu_before_s = _cpu_s(pid)
             most_memory_mb = memory_before_mb
             started_at = time.monotonic()
@@ -181,7 +155,7 @@
 
             calls = asyncio.gather(run_calls("/read/"), run_calls("/pull/"))
             while not calls.done():
-                most_memory_mb = max(most_memory_mb, _memory_mb(pid))
+                most_memory_mb = max(most_memory_mb, raw_workers.memory_mb(pid))
                 await asyncio.sleep(0.05)
             nonsense, served = await calls
             cpu_s = _cpu_s(pid) - cpu_before_s
@@ -203,4 +177,5 @@
             assert max(duration_s for _, duration_s in nonsense) < 8 + 2
             assert most_memory_mb - memory_before_mb < _MAX_ADDED_MEMORY_MB
         finally:
+            await exit_stack.aclose()
             await fleet.close()
--- a/tests/processes/test_slow_readers.py
+++ b/tests/processes/test_slow_readers.py
@@ -1,17 +1,16 @@
 """Large responses of a real edge process to callers that read slowly."""
 
 import asyncio
-import json
+import contextlib
 import logging
 import pathlib
 
 import aiohttp
-import msgspec
 
 from bench import edge_fleet
-from tanagerspoke.platform import wire
 from tests import stack as stacks
 from tests import tcp_server
+from tests.processes import raw_workers
 
 log = logging.getLogger(__name__)
 
@@ -52,31 +51,6 @@
             return
 
 
-async def _register(fleet: edge_fleet.EdgeFleet, port: int) -> None:
-    entry = {
-        "service": "availability",
-        "address": f"127.0.0.1:{port}",
-        "zone": "a",
-        "slots": 64,
-        "state": "ready",
-        "seq_no": 1,
-        "born": 1000,
-    }
-    row = wire.TransactionRow(
-        table=wire.WORKERS_TABLE, key="w-1", value=json.dumps(entry).encode()
-    )
-    data = msgspec.json.encode(wire.Transaction(set_keys=(row,)))
-    url = f"http://127.0.0.1:{fleet.store_port}/rows-tx"
-    async with fleet.http.post(url, data=data) as resp:
-        assert resp.status == 200
-
-
-def _memory_mb(pid: int) -> float:
-    status = pathlib.Path(f"/proc/{pid}/status").read_text()
-    (line,) = [x for x in status.splitlines() if x.startswith("VmRSS")]
-    return int(line.split()[1]) / 1024
-
-
 async def _open(
     node: edge_fleet.Node, request_id: str, path: str
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -100,14 +74,21 @@
     response that ends early must not look complete meanwhile.
     """
     fleet = edge_fleet.EdgeFleet(directory=tmp_path)
-    async with tcp_server.TcpServer(handler=_respond) as server:
+    async with (
+        tcp_server.TcpServer(handler=_respond) as server,
+        contextlib.AsyncExitStack() as exit_stack,
+    ):
         writers = []
         try:
             await fleet.start()
             node = fleet.add_node("edge-1", "a")
             fleet.start_edge(node, store_port=fleet.store_port)
             await fleet.apply_manifest(1)
-            await _register(fleet, server.port)
+            await exit_stack.enter_async_context(
+                raw_workers.registered(
+                    fleet, service="availability", ports=[server.port], slots=64
+                )
+            )
             await stacks.wait_until(lambda: fleet.is_ready(node), "readiness")
 
             async def is_served() -> bool:
@@ -118,20 +99,21 @@
 
             await stacks.wait_until(is_served, "the worker")
             pid = fleet["edge-1"].pid
-            memory_before_mb = _memory_mb(pid)
+            memory_before_mb = raw_workers.memory_mb(pid)
             for number in range(_READERS):
                 reader, writer = await _open(node, f"q{number}", "/pull/x")
                 writers.append(writer)
                 status_line = await reader.readline()
                 assert b" 200 " in status_line
             await asyncio.sleep(1.0)
-            added_mb = _memory_mb(pid) - memory_before_mb
+            added_mb = raw_workers.memory_mb(pid) - memory_before_mb
             log.info("%d slow readers: +%.1f MB", _READERS, added_mb)
             assert added_mb < _MAX_MEMORY_PER_READER_MB * _READERS
             await _check_cut_response(fleet, node)
         finally:
             for writer in writers:
                 writer.transport.abort()
+            await exit_stack.aclose()
             await fleet.close()
 
 
