--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Independent review: cases that break a rule, and their report."""
