Let three of fifteen workers leave in case 2

Cause: with two of ten workers leaving, a probe may meet both first and learn from Server-Leaving that they leave. Change: three of fifteen workers leave, the same share; 30 bookings.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,9 +10,9 @@
 from review.common import worker
 
 _SERVICE = "booking"
-# The first two leave.
-_WORKERS = 10
-_LEAVING_WORKERS = 2
+# The first three leave.
+_WORKERS = 15
+_LEAVING_WORKERS = 3
 # Further workers of the platform, so that a reply of the store has not all.
 _OTHER_SERVICES = 12
 _OTHER_WORKERS = 44
@@ -26,7 +26,7 @@
 _WORK_S = 1.5
 # Time from the confirmation to the machine's first bookings.
 _FIRST_BOOKINGS_S = 3.3
-_BOOKINGS = 20
+_BOOKINGS = 30
 _ANSWER_S = 6.0
 
 
