--- /dev/null
+++ b/review/5/__init__.py
@@ -0,0 +1,1 @@
+"""Case 5 of the review."""
--- a/review/common/edge.py
+++ b/review/common/edge.py
@@ -44,7 +44,7 @@
 [limits]
 cpu_share = 0.717
 cores = 3
-memory_mb = 552
+memory_mb = {memory_mb}
 max_fds = 8192
 link_mbps = {link_mbps}
 disk_mb = 0
@@ -156,6 +156,7 @@
     store: str,
     directory: pathlib.Path,
     link_mbps: float = 100.0,
+    memory_mb: int = 552,
 ) -> Edge:
     """Starts an edge with the command of the deploy file.
 
@@ -164,6 +165,7 @@
         store: address and port of the store.
         directory: for the settings file and the log.
         link_mbps: bandwidth of the machine's link, for the settings.
+        memory_mb: memory of the process, for the settings.
     """
     address = unused_address()
     front, ready, control, internal = _free_ports(address, 4)
@@ -178,6 +180,7 @@
             front_port=front,
             ready_port=ready,
             link_mbps=link_mbps,
+            memory_mb=memory_mb,
             store=store,
         )
     )
