--- /dev/null
+++ b/review/3/__init__.py
@@ -0,0 +1,1 @@
+"""Case 3 of the review."""
