--- a/review/5/case.py
+++ b/review/5/case.py
@@ -157,10 +157,7 @@
     if scenario.trouble():
         record.write(f"{_UPLOADS} clients send {_BODY_BYTES} bytes each")
         await asyncio.gather(
-            *(
-                _upload(platform, target, f"upload-{n}")
-                for n in range(_UPLOADS)
-            )
+            *(_upload(platform, target, f"upload-{n}") for n in range(_UPLOADS))
         )
     await load
     watch.cancel()
@@ -188,9 +185,7 @@
         str(status) for status in answers.values() if status is not None
     )
     record.write(f"short bookings answered: {dict(statuses)}")
-    record.write(
-        f"{len(lost)} short bookings lost; more than 3 break the rule"
-    )
+    record.write(f"{len(lost)} short bookings lost; more than 3 break the rule")
     return scenario.BROKEN if len(lost) > 3 else scenario.HELD
 
 
