--- a/review/3/case.py
+++ b/review/3/case.py
@@ -93,7 +93,6 @@
 
 async def case(platform: scenario.Platform) -> int:
     """Runs the case; returns its exit code."""
-    record = platform.record
     await platform.start_store()
     await platform.store.put_json(
         "op",
