Don't send an id twice on a connection to an upstream

Cause: X-Attempt-Id is the caller's and is the same in every attempt of a call. A retry at the only worker went out on the connection of its own refusal, where a late copy of that refusal matched the id.

Ruled out: responses with another id (skipped), bytes on an idle connection (closed), copies in the same read (surplus).

Change: a connection remembers the ids sent on it, at most 512, and is passed over for a request with one of them. Each skipped response is logged (response_skipped).

--- a/tanagerspoke/standins/faulty_responses.py
+++ b/tanagerspoke/standins/faulty_responses.py
@@ -36,7 +36,7 @@
     await resp.write_eof()
     if faults.duplicate_replies and req.transport is not None:
         req.transport.write(
-            _encode_response(
+            encode_response(
                 status=status, headers=resp.headers, body=bytes(sent)
             )
         )
@@ -59,9 +59,10 @@
         req.transport.close()
 
 
-def _encode_response(
+def encode_response(
     *, status: int, headers: multidict.CIMultiDict[str], body: bytes
 ) -> bytes:
+    """Returns an encoded response with a `Content-Length` header."""
     lines = [f"HTTP/1.1 {status} {http.HTTPStatus(status).phrase}"]
     lines += [
         f"{name}: {value}"
--- a/tanagerspoke/standins/routed_worker.py
+++ b/tanagerspoke/standins/routed_worker.py
@@ -1,6 +1,7 @@
 """Stand-in of a worker of the platform that the edge calls."""
 
 import asyncio
+from collections.abc import Callable
 import hashlib
 import json
 import logging
@@ -15,6 +16,7 @@
 from tanagerspoke.platform import headers
 from tanagerspoke.platform import wire
 from tanagerspoke.settings import edge_standins
+from tanagerspoke.standins import faulty_responses
 from tanagerspoke.standins import json_responses
 
 log = logging.getLogger(__name__)
@@ -43,6 +45,8 @@
         truncated: the request is run, then the connection closes before the
             end of the response body.
         doubled: a second response follows the first one.
+        late_copies: the response is sent again when the next request arrives
+            on the connection, before the response to that request.
         unsigned: the request is run and the response has no signature.
         mute: the request is run and never gets a response.
     """
@@ -52,6 +56,7 @@
     lost: _Share = 0.0
     truncated: _Share = 0.0
     doubled: _Share = 0.0
+    late_copies: _Share = 0.0
     unsigned: _Share = 0.0
     mute: _Share = 0.0
 
@@ -79,13 +84,15 @@
         self._sequence_number = 0
         self._started_at_ms = int(time.time() * 1000)
         self._stopping = False
+        # Responses that are sent again, by the peer of their connection.
+        self._late_copies: dict[Any, bytes] = {}
         self._runner: web.AppRunner | None = None
         self._session: aiohttp.ClientSession | None = None
         self._heartbeat_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Opens the port and starts the heartbeats to the store."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._send_copies])
         app.router.add_get(HEALTH_PATH, self._get_health)
         app.router.add_put("/control/faults", self._put_faults)
         app.router.add_route("*", "/{path:.*}", self._serve)
@@ -162,8 +169,29 @@
 
     async def _put_faults(self, req: web.Request) -> web.Response:
         self._faults = await json_responses.decode(req, WorkerFaults)
+        self._late_copies.clear()
         return web.Response(status=204)
 
+    @web.middleware
+    async def _send_copies(
+        self, req: web.Request, handler: Callable[[web.Request], Any]
+    ) -> web.StreamResponse:
+        """Sends late copies of responses; see `WorkerFaults`."""
+        transport = req.transport
+        assert transport is not None
+        peer = transport.get_extra_info("peername")
+        copy = self._late_copies.pop(peer, None)
+        if copy is not None:
+            transport.write(copy)
+        resp = await handler(req)
+        if self._fault_occurs(self._faults.late_copies):
+            self._late_copies[peer] = faulty_responses.encode_response(
+                status=resp.status,
+                headers=resp.headers,
+                body=getattr(resp, "body", None) or b"",
+            )
+        return resp
+
     def _format_load(self) -> str:
         return (
             f"{self._running},{self._waiting},{self._cfg.slots},"
--- a/tanagerspoke/transport/upstreams/idle_pool.py
+++ b/tanagerspoke/transport/upstreams/idle_pool.py
@@ -28,18 +28,21 @@
         ] = collections.defaultdict(collections.deque)
 
     def acquire(
-        self, upstream_id: str, now: float
+        self, upstream_id: str, *, request_id: str, now: float
     ) -> upstream_connection.UpstreamConnection | None:
         """Removes and returns the most recently used idle connection.
 
-        Returns None if the upstream has no usable idle connection.
+        Passes over connections on which the request's id was sent before.
+        Returns None if the upstream has no other usable idle connection.
         """
-        idle = self._idle.get(upstream_id)
-        while idle:
-            conn = idle.pop()
-            if conn.is_usable and conn.usable_until > now:
+        idle = self._idle.get(upstream_id, ())
+        for conn in reversed(tuple(idle)):
+            if not conn.is_usable or conn.usable_until <= now:
+                idle.remove(conn)
+                conn.close()
+            elif not conn.has_sent(request_id):
+                idle.remove(conn)
                 return conn
-            conn.close()
         return None
 
     def put(
--- a/tanagerspoke/transport/upstreams/upstream_client.py
+++ b/tanagerspoke/transport/upstreams/upstream_client.py
@@ -30,9 +30,10 @@
 _IDLE_SWEEP_INTERVAL_S = 5.0
 _LATE_REPLY_WATCH_S = 30.0
 
-# Log limits of late, lost and crossed replies. They are high, since each of
-# these replies identifies a client account that may have to be notified; late
-# and lost replies beyond the limits are still counted in the metrics.
+# Log limits of late, lost, crossed and skipped replies. They are high, since
+# each of these replies identifies a client account that may have to be
+# notified; late and lost replies beyond the limits are still counted in the
+# metrics.
 _REPLY_LOG_LINES_PER_S = 100.0
 # A faulty upstream may send a malformed report with every response.
 _LOAD_REPORT_LOG_LINES_PER_S = 1.0
@@ -142,7 +143,9 @@
     def start(self, loop: asyncio.AbstractEventLoop) -> None:
         """Sends the request on an idle or a new connection."""
         self._timer = loop.call_at(self.deadline, self._time_out)
-        conn = self._client.acquire_idle(self.upstream.upstream_id)
+        conn = self._client.acquire_idle(
+            self.upstream.upstream_id, self.request.request_id
+        )
         if conn is not None:
             self._send(conn)
         else:
@@ -176,7 +179,12 @@
             self._client.call_soon(self._fail, calls.NotSent(), str(exc))
             return
         self.conn = conn
-        conn.send(method=self.request.method, data=data, receiver=self)
+        conn.send(
+            method=self.request.method,
+            data=data,
+            request_id=self.request.request_id,
+            receiver=self,
+        )
 
     def _serialize(self, remaining_ms: int) -> bytes:
         request = self.request
@@ -197,6 +205,12 @@
 
     def accepts(self, head: Any) -> bool:
         """Implements `upstream_connection.Receiver`."""
+        accepted = self._owns(head)
+        if not accepted:
+            self._client.log_skipped_response(self, status=head.code)
+        return accepted
+
+    def _owns(self, head: Any) -> bool:
         return self.dialect.belongs_to(head=head, request=self.request)
 
     def on_data(self, body: bytes) -> None:
@@ -204,7 +218,7 @@
         conn = self.conn
         assert conn is not None
         head = conn.reader.head
-        matches = self.accepts(head)
+        matches = self._owns(head)
         if self.watched:
             if not matches:
                 self._client.report_watch_broken(self)
@@ -405,6 +419,7 @@
         self._late_log_limit = _reply_log_limit("late_reply")
         self._lost_log_limit = _reply_log_limit("lost_reply")
         self._crossed_log_limit = _reply_log_limit("crossed_reply")
+        self._skipped_log_limit = _reply_log_limit("response_skipped")
         self._load_log_limit = log_limit.LogLimit(
             event="load_report_malformed",
             rate_per_s=_LOAD_REPORT_LOG_LINES_PER_S,
@@ -473,13 +488,12 @@
         return self._loop.time()
 
     def acquire_idle(
-        self, upstream_id: str
+        self, upstream_id: str, request_id: str
     ) -> upstream_connection.UpstreamConnection | None:
-        """Removes and returns the most recently used idle connection.
-
-        Returns None if the upstream has no usable idle connection.
-        """
-        return self._idle.acquire(upstream_id, self._loop.time())
+        """Removes and returns an idle connection; see `IdlePool.acquire`."""
+        return self._idle.acquire(
+            upstream_id, request_id=request_id, now=self._loop.time()
+        )
 
     async def connect(
         self, upstream: upstreams.Upstream
@@ -542,6 +556,14 @@
                 "crossed_reply", extra=_describe(_expected_reply(exchange))
             )
 
+    def log_skipped_response(self, exchange: Exchange, *, status: int) -> None:
+        """Logs a response to another request, before the expected one."""
+        if self._skipped_log_limit.try_acquire(exchange.upstream.upstream_id):
+            log.warning(
+                "response_skipped",
+                extra=_describe(_expected_reply(exchange)) | {"status": status},
+            )
+
     def _handle_reply(self, event: replies.Event) -> None:
         now = self._loop.time()
         for action in self._reply_watch.handle(event=event, now=now):
--- a/tanagerspoke/transport/upstreams/upstream_connection.py
+++ b/tanagerspoke/transport/upstreams/upstream_connection.py
@@ -1,5 +1,6 @@
 """Connection to an upstream that runs one exchange at a time."""
 
+import array
 import asyncio
 from typing import cast, Protocol
 
@@ -9,6 +10,10 @@
 from tanagerspoke.transport.upstreams import response_reader
 from tanagerspoke.transport.upstreams import upstream_dialect
 
+# Requests on a connection after which it is closed, so that the memory for
+# their ids is bounded.
+_MAX_REQUESTS = 512
+
 
 class Receiver(Protocol):
     """Receives the response of an exchange from its connection.
@@ -46,6 +51,7 @@
 
     __slots__ = (
         "_receiver",
+        "_sent_id_hashes",
         "closed",
         "idle_since",
         "reader",
@@ -64,6 +70,7 @@
         self.idle_since = 0.0
         self.usable_until = 0.0
         self._receiver: Receiver | None = None
+        self._sent_id_hashes = array.array("q")
 
     @property
     def is_usable(self) -> bool:
@@ -88,11 +95,28 @@
             and self.transport is not None
             and not self.transport.is_closing()
             and self.transport.get_write_buffer_size() == 0
+            and len(self._sent_id_hashes) < _MAX_REQUESTS
         )
 
-    def send(self, *, method: str, data: bytes, receiver: Receiver) -> None:
-        """Sends a request whose response is passed to the receiver."""
+    def has_sent(self, request_id: str) -> bool:
+        """Returns whether a request with this id was sent on it.
+
+        A late copy of that request's response could be taken for the response
+        to another request with the same id. The result may be wrong for an id
+        that was not sent, which costs a new connection.
+        """
+        return hash(request_id) in self._sent_id_hashes
+
+    def send(
+        self, *, method: str, data: bytes, request_id: str, receiver: Receiver
+    ) -> None:
+        """Sends a request whose response is passed to the receiver.
+
+        The id is empty if the upstream's response does not carry one.
+        """
         assert self.transport is not None
+        if request_id:
+            self._sent_id_hashes.append(hash(request_id))
         self._receiver = receiver
         skips = receiver.dialect.skips_late_responses
         self.reader.begin(
--- a/tests/standins/test_routed_worker.py
+++ b/tests/standins/test_routed_worker.py
@@ -1,8 +1,10 @@
 """The stand-ins of a worker and of the metadata store."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import json
 import pathlib
+import re
 
 import aiohttp
 import msgspec
@@ -138,6 +140,31 @@
     assert [event["id"] for event in stand_ins.run_log_events()] == ["q1"]
 
 
+async def test_copy_precedes_the_next_response_on_a_connection(
+    stand_ins: _StoreAndWorker,
+) -> None:
+    """Guards against a soak whose late copies never meet a request."""
+    async with stand_ins.session.put(
+        "/control/faults", json={"shed": 1.0, "late_copies": 1.0}
+    ):
+        pass
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", stand_ins.cfg.listen.port
+    )
+    received = []
+    for request_id in ("q1", "q2"):
+        lines = ["GET /x HTTP/1.1", "Host: shop.example"]
+        lines += [f"{headers.REQUEST_ID}: {request_id}"]
+        lines += [f"{headers.EXPECTED_UPSTREAM}: w1", "", ""]
+        writer.write("\r\n".join(lines).encode())
+        received.append(await reader.readuntil(b"\r\n\r\n"))
+    received.append(await reader.readuntil(b"\r\n\r\n"))
+    writer.close()
+    assert [
+        re.search(rb"X-Attempt-Id: (\S+)", head)[1] for head in received
+    ] == [b"q1", b"q1", b"q2"]
+
+
 async def test_entry_follows_the_worker(stand_ins: _StoreAndWorker) -> None:
     """Guards against worker entries that are unreadable or never removed."""
     await stand_ins.wait_until_listed(["w1"])
