Accept answers without an id only where nothing else was sent

Cause: probes and calls share connections, health answers have no id, and any answer of 400 or more without an id counted as the call's own. A late copy of a failing health answer matched any call.

Change: an answer without an id belongs to a call only if nothing else was sent on its connection; else it is skipped. Health answers of another worker at the address are no report. Connections are closed after 421, and after a health answer with a notice, which a copy would renew.

--- a/bench/edge_soak_faults.py
+++ b/bench/edge_soak_faults.py
@@ -27,6 +27,7 @@
     {"truncated": 0.3},
     {"doubled": 0.3},
     {"shed": 0.5, "late_copies": 0.3},
+    {"unhealthy": 0.5, "late_copies": 0.3},
     {"unsigned": 0.3},
     {"mute": 0.3},
 )
--- a/tanagerspoke/platform/headers.py
+++ b/tanagerspoke/platform/headers.py
@@ -16,6 +16,8 @@
 REQUEST_ID = "X-Attempt-Id"
 DEADLINE_MS = "X-Deadline-Ms"
 EXPECTED_UPSTREAM = "X-Expect-Instance"
+# Id of the worker that sent a health response.
+RESPONDER = "X-Instance-Id"
 # Proves that the worker itself produced the response.
 SIGNATURE = "X-Response-Signature"
 NOT_RUN = "X-Not-Executed"
@@ -79,17 +81,21 @@
         *,
         head: aiohttp_http.RawResponseMessage,
         request: upstream_dialect.UpstreamRequest,
+        upstream: upstreams.Upstream,
+        first_on_connection: bool,
     ) -> bool:
         """Implements `UpstreamDialect`.
 
         A worker that refuses a request before reading its id does not echo the
-        id.
+        id. On a connection that was used before, such a response may as well
+        be a late copy of a health response, which has no id either.
         """
         echoed = head.headers.get(REQUEST_ID)
         if request.probe:
-            return echoed is None
+            responder = head.headers.get(RESPONDER, upstream.upstream_id)
+            return echoed is None and responder == upstream.upstream_id
         if echoed is None:
-            return head.code >= 400
+            return first_on_connection and head.code >= 400
         return echoed == request.request_id
 
     def not_run_result(
--- a/tanagerspoke/standins/routed_worker.py
+++ b/tanagerspoke/standins/routed_worker.py
@@ -39,6 +39,7 @@
 
     Attributes:
         slow_factor: factor on the work time.
+        unhealthy: the health request gets 503.
         shed: the request is refused and not run.
         lost: the request is run, then the connection is reset without a
             response.
@@ -52,6 +53,7 @@
     """
 
     slow_factor: float = 1.0
+    unhealthy: _Share = 0.0
     shed: _Share = 0.0
     lost: _Share = 0.0
     truncated: _Share = 0.0
@@ -202,10 +204,11 @@
         del req
         response_headers = {
             headers.LOAD: self._format_load(),
-            "X-Instance-Id": self._cfg.name,
+            headers.RESPONDER: self._cfg.name,
         }
+        failing = self._stopping or self._fault_occurs(self._faults.unhealthy)
         return web.Response(
-            status=503 if self._stopping else 200, headers=response_headers
+            status=503 if failing else 200, headers=response_headers
         )
 
     async def _serve(self, req: web.Request) -> web.StreamResponse:
--- a/tanagerspoke/transport/upstreams/upstream_client.py
+++ b/tanagerspoke/transport/upstreams/upstream_client.py
@@ -89,6 +89,7 @@
         "_on_ended",
         "_on_started",
         "_body",
+        "_has_notice",
         "_notice_read",
         "_on_notice",
         "_stream",
@@ -131,6 +132,7 @@
         self._on_started = on_started
         self._on_notice = on_notice
         self._notice_read = False
+        self._has_notice = False
         self._body = bytearray()
         self._stream: response_stream.ResponseStream | None = None
         self._connecting: asyncio.Task[None] | None = None
@@ -211,7 +213,12 @@
         return accepted
 
     def _owns(self, head: Any) -> bool:
-        return self.dialect.belongs_to(head=head, request=self.request)
+        return self.dialect.belongs_to(
+            head=head,
+            request=self.request,
+            upstream=self.upstream,
+            first_on_connection=self.conn.requests_sent == 1,
+        )
 
     def on_data(self, body: bytes) -> None:
         """Implements `upstream_connection.Receiver`."""
@@ -252,6 +259,7 @@
         """
         self._notice_read = True
         notice = self.dialect.notice(head)
+        self._has_notice = notice is not None
         if notice is not None:
             self._on_notice(notice)
 
@@ -316,12 +324,28 @@
                     content_length=_content_length(head),
                 ),
             )
-        self._client.release(conn)
+        self._release(conn, not_run)
         self.conn = None
         if self._stream is not None:
             self._stream.finish()
         self._end(ended)
 
+    def _release(
+        self,
+        conn: upstream_connection.UpstreamConnection,
+        not_run: calls.Shed | calls.WrongUpstream | None,
+    ) -> None:
+        """Keeps the connection for other requests if that is safe.
+
+        Another upstream at the address would answer them. A late copy of a
+        health response with a notice would renew the notice.
+        """
+        is_wrong = isinstance(not_run, calls.WrongUpstream)
+        if is_wrong or (self.request.probe and self._has_notice):
+            conn.close()
+        else:
+            self._client.release(conn)
+
     def _parse_load(self, head: Any) -> upstreams.LoadReport | None:
         try:
             return self.dialect.load_report(head)
--- a/tanagerspoke/transport/upstreams/upstream_connection.py
+++ b/tanagerspoke/transport/upstreams/upstream_connection.py
@@ -45,6 +45,7 @@
 
     Attributes:
         idle_since: time at which it became idle.
+        requests_sent: number of requests sent on it, probes included.
         usable_until: time after which no request may be sent on it, since the
             upstream may close it.
     """
@@ -54,6 +55,7 @@
         "_sent_id_hashes",
         "closed",
         "idle_since",
+        "requests_sent",
         "reader",
         "transport",
         "upstream_id",
@@ -68,6 +70,7 @@
         self.transport: asyncio.Transport | None = None
         self.closed = False
         self.idle_since = 0.0
+        self.requests_sent = 0
         self.usable_until = 0.0
         self._receiver: Receiver | None = None
         self._sent_id_hashes = array.array("q")
@@ -115,6 +118,7 @@
         The id is empty if the upstream's response does not carry one.
         """
         assert self.transport is not None
+        self.requests_sent += 1
         if request_id:
             self._sent_id_hashes.append(hash(request_id))
         self._receiver = receiver
--- a/tanagerspoke/transport/upstreams/upstream_dialect.py
+++ b/tanagerspoke/transport/upstreams/upstream_dialect.py
@@ -80,9 +80,23 @@
         """
 
     def belongs_to(
-        self, *, head: aiohttp_http.RawResponseMessage, request: UpstreamRequest
+        self,
+        *,
+        head: aiohttp_http.RawResponseMessage,
+        request: UpstreamRequest,
+        upstream: upstreams.Upstream,
+        first_on_connection: bool,
     ) -> bool:
-        """Returns whether the response belongs to this request."""
+        """Returns whether the response belongs to this request.
+
+        Args:
+            head: head of the response.
+            request: the request that waits for a response.
+            upstream: the upstream that the request was sent to.
+            first_on_connection: whether nothing else was sent on the
+                connection, so that no other request can have caused the
+                response.
+        """
 
     def not_run_result(
         self, head: aiohttp_http.RawResponseMessage
@@ -141,9 +155,15 @@
         return lines
 
     def belongs_to(
-        self, *, head: aiohttp_http.RawResponseMessage, request: UpstreamRequest
+        self,
+        *,
+        head: aiohttp_http.RawResponseMessage,
+        request: UpstreamRequest,
+        upstream: upstreams.Upstream,
+        first_on_connection: bool,
     ) -> bool:
         """Implements `UpstreamDialect`."""
+        del upstream, first_on_connection
         return head.headers.get(headers.REQUEST_ID) == request.request_id
 
     def not_run_result(
--- a/tests/transport/upstreams/test_late_copies.py
+++ b/tests/transport/upstreams/test_late_copies.py
@@ -39,6 +39,7 @@
     """Answers each request by its path and sends copies of its responses.
 
     Attributes:
+        name: id in its health responses.
         copies: copies by connection and exchange, both from 0, before whose
             response they are sent.
         ran: serial numbers of the requests that it ran.
@@ -48,6 +49,7 @@
     def __init__(
         self, *, copies: dict[tuple[int, int], _Copy] | None = None
     ) -> None:
+        self.name = "w1"
         self.copies = copies or {}
         self.ran: list[int] = []
         self.connections = 0
@@ -79,10 +81,10 @@
     def _response(self, head: bytes) -> bytes:
         path = re.match(rb"GET /(\w+)/(\d*)", head)
         action, serial = path[1].decode(), path[2].decode()
-        if action == "healthy":
-            return _encode("200 OK", "X-Server-Load: 0,0,3")
-        if action == "unhealthy":
-            return _encode("503 Busy", "X-Server-Load: 3,0,3")
+        if action in ("healthy", "unhealthy"):
+            status = "200 OK" if action == "healthy" else "503 Busy"
+            instance = f"X-Instance-Id: {self.name}"
+            return _encode(status, instance, "X-Server-Load: 0,0,3")
         request_id = re.search(rb"X-Attempt-Id: (\S+)", head)[1].decode()
         echo = f"X-Attempt-Id: {request_id}"
         if action == "refuse":
@@ -194,6 +196,59 @@
     assert worker.connections == 2
 
 
+@pytest.mark.parametrize("early_bytes", [0, 1])
+async def test_copy_of_a_health_response_does_not_answer_a_call(
+    early_bytes: int,
+) -> None:
+    """Guards against "not run" for a call that runs, after a failed probe.
+
+    Health responses have no id.
+    """
+    copies = {(0, 1): _Copy(original=0, early_bytes=early_bytes)}
+    worker = _CopyingWorker(copies=copies)
+    async with (
+        tcp_server.TcpServer(handler=worker.serve) as server,
+        _Client(port=server.port) as client,
+    ):
+        await client.send("unhealthy", 1)
+        ended = await client.send("ok", 2)
+    assert ended.response.body == b"2"
+
+
+async def test_health_response_of_another_worker_is_no_report() -> None:
+    """Guards against a load report, notice or connection of another worker.
+
+    An address may be reused by another worker.
+    """
+    worker = _CopyingWorker()
+    worker.name = "w2"
+    async with (
+        tcp_server.TcpServer(handler=worker.serve) as server,
+        _Client(port=server.port) as client,
+    ):
+        ended = await client.send("healthy", 1)
+        assert ended.result == calls.TimedOut()
+        assert ended.load is None
+        await client.send("ok", 2)
+    assert worker.connections == 2
+
+
+async def test_refusal_without_an_id_on_a_new_connection_is_one() -> None:
+    """Guards against a wait for the response that a worker has sent.
+
+    A worker that is not the expected one answers before it reads the id.
+    """
+    worker = _CopyingWorker()
+    async with (
+        tcp_server.TcpServer(handler=worker.serve) as server,
+        _Client(port=server.port) as client,
+    ):
+        ended = await client.send("misdirect", 1)
+        assert ended.result == calls.WrongUpstream()
+        await client.send("ok", 2, request_id="q2")
+    assert worker.connections == 2
+
+
 class _RandomCopies(_CopyingWorker):
     """Sends copies of any earlier response on a connection at random."""
 
@@ -209,3 +264,31 @@
             original=self._rng.randrange(exchange),
             early_bytes=self._rng.choice((0, 0, 0, 1, 30)),
         )
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_random_copies_never_answer_another_request(seed: int) -> None:
+    """Guards against a wrong body or "not run" from any late copy.
+
+    The few ids stand for retries and for callers that use the same ones.
+    """
+    rng = random.Random(seed)
+    worker = _RandomCopies(rng=rng)
+    results: dict[int, upstream_client.EndedExchange] = {}
+    actions = ("ok", "ok", "refuse", "misdirect", "fail", "healthy")
+
+    async with (
+        tcp_server.TcpServer(handler=worker.serve) as server,
+        _Client(port=server.port) as client,
+    ):
+        for serial in range(150):
+            action = rng.choice((*actions, "unhealthy"))
+            request_id = rng.choice(("q1", "q2", f"r{serial}"))
+            ended = await client.send(action, serial, request_id=request_id)
+            if action not in ("healthy", "unhealthy"):
+                results[serial] = ended
+    for serial, ended in results.items():
+        if isinstance(ended.result, calls.Shed | calls.WrongUpstream):
+            assert serial not in worker.ran
+        if ended.response is not None:
+            assert ended.response.body == str(serial).encode()
