Read lists of several pages as of one version of the store

Cause: PlatformStore._read_table joined pages of different moments and kept the version of the last page. Changes of an earlier page between two replies were in neither the list nor any later reply, for workers, routing and nodes. The feed had the same fault: has_more was ignored and the newest version of the store was taken as the position.

Ruled out: the follower's order checks (the change never reaches them) and the time of the read (with the change 0.1 s after the list, no request reaches the worker). Going on from the first page's version alone would replay removals that a later page has overtaken; the state machine shows that.

Change: changes since the first page are applied to all pages, so a list is the table at one version. A feed is read on from its last row. One more call for each list of several pages. The store's stand-in has pages; the edge soak uses pages of two rows.

--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -39,6 +39,8 @@
 
 # Longer than `DRAIN_S`, within which calls may reach a draining worker.
 _WORKER_DRAIN_S = 4.0
+# Few, so that entries of workers and nodes change between two pages.
+_STORE_PAGE_ROWS = 2
 # Number of ports after the port for peers in an edge's internal port range.
 _EXTRA_INTERNAL_PORTS = 2
 
@@ -126,7 +128,11 @@
             timeout=aiohttp.ClientTimeout(total=stacks.WAIT_S)
         )
         self._start_standin(
-            "store", {"listen": stacks.endpoint(self.store_port)}
+            "store",
+            {
+                "listen": stacks.endpoint(self.store_port),
+                "page_rows": _STORE_PAGE_ROWS,
+            },
         )
         self._control_ports["store"] = self.store_port
         await self._wait_until_listening("store")
--- a/tanagerspoke/commands/standin.py
+++ b/tanagerspoke/commands/standin.py
@@ -67,7 +67,9 @@
         settings,
         edge_standins.StandinStore,
         lambda cfg: metadata_store.MetadataStoreStandin(
-            listen=cfg.listen, entry_ttl_s=cfg.lapse_s
+            listen=cfg.listen,
+            entry_ttl_s=cfg.lapse_s,
+            page_rows=cfg.page_rows,
         ),
     )
 
--- a/tanagerspoke/platform/store.py
+++ b/tanagerspoke/platform/store.py
@@ -113,25 +113,61 @@
         return zone_feed.NodeList(nodes=tuple(nodes), problems=tuple(problems))
 
     async def _read_table(self, table: str) -> wire.RowsReply:
-        rows: list[wire.Row] = []
+        """Returns all rows of a table as of one version of the store.
+
+        Each reply holds the rows of its own moment, so changes since the first
+        one are applied to the rows of all of them.
+        """
+        replies = []
         params = {"table": table, "part": ""}
         while True:
             reply = await self._get_rows("/rows-get", params)
-            rows.extend(reply.rows)
+            replies.append(reply)
             if not reply.has_more or not reply.rows:
-                return wire.RowsReply(rows=tuple(rows), ver=reply.ver)
+                break
             # The smallest key greater than the last one read.
             params["from"] = reply.rows[-1].key + "\0"
+        rows = {row.key: row for reply in replies for row in reply.rows}
+        first_version = replies[0].ver
+        if replies[-1].ver == first_version:
+            return wire.RowsReply(rows=tuple(rows.values()), ver=first_version)
+        try:
+            changes = await self._read_changes(
+                table, after=first_version, wait_s=0.0
+            )
+        except exceptions.HistoryLostError:
+            # The next read of changes after this version fails as well, and
+            # the table is read again.
+            return wire.RowsReply(rows=tuple(rows.values()), ver=first_version)
+        rows |= {row.key: row for row in changes.rows}
+        return wire.RowsReply(
+            rows=tuple(row for row in rows.values() if not row.deleted),
+            ver=changes.ver,
+        )
 
     async def _read_changes(
         self, table: str, *, after: int, wait_s: float
     ) -> wire.RowsReply:
-        params = {
-            "table": table,
-            "after": str(after),
-            "wait_ms": str(int(wait_s * 1000)),
-        }
-        return await self._get_rows("/rows-feed", params, wait_s=wait_s)
+        """Returns the last change of each row that changed after a version."""
+        rows: dict[str, wire.Row] = {}
+        while True:
+            params = {
+                "table": table,
+                "after": str(after),
+                "wait_ms": str(int(wait_s * 1000)),
+            }
+            reply = await self._get_rows("/rows-feed", params, wait_s=wait_s)
+            rows |= {row.key: row for row in reply.rows}
+            if not reply.has_more:
+                return wire.RowsReply(rows=tuple(rows.values()), ver=reply.ver)
+            # `ver` may be newer than the last change that was returned.
+            if not reply.rows or reply.rows[-1].ver <= after:
+                raise exceptions.PlatformUnavailableError(
+                    f"GET /rows-feed: no change after version {after}, "
+                    "although there are more"
+                )
+            after = reply.rows[-1].ver
+            wait_s = 0.0
 
     async def _get_rows(
         self, path: str, params: dict[str, str], *, wait_s: float = 0.0
--- a/tanagerspoke/settings/edge_standins.py
+++ b/tanagerspoke/settings/edge_standins.py
@@ -18,9 +18,11 @@
     Attributes:
         lapse_s: time without a report after which a worker's entry is
             removed.
+        page_rows: maximum number of rows in a reply.
     """
 
     listen: options.Endpoint
+    page_rows: Annotated[int, pydantic.Field(ge=1)] = 500
     lapse_s: options.PositiveSeconds = 1.5
     log_level: options.LogLevel = "INFO"
 
--- a/tanagerspoke/standins/metadata_store.py
+++ b/tanagerspoke/standins/metadata_store.py
@@ -14,6 +14,8 @@
 
 _UNAVAILABLE_STATUS = 503
 _HISTORY_LOST_STATUS = 410
+# Maximum number of rows in a reply of the store.
+DEFAULT_PAGE_ROWS = 500
 
 
 class MetadataStoreStandin:
@@ -21,11 +23,17 @@
 
     Attributes:
         faults: current faults.
+        on_page: called with the name of the table before a page of its rows is
+            sent, whose contents are already chosen.
         call_count: number of calls to the rows API, including refused ones.
     """
 
     def __init__(
-        self, *, listen: options.Endpoint, entry_ttl_s: float | None = None
+        self,
+        *,
+        listen: options.Endpoint,
+        entry_ttl_s: float | None = None,
+        page_rows: int = DEFAULT_PAGE_ROWS,
     ) -> None:
         """Creates a store without rows.
 
@@ -33,9 +41,12 @@
             listen: address and port of the server.
             entry_ttl_s: time without a write after which the entry of a
                 worker is removed; None for never.
+            page_rows: maximum number of rows in a reply.
         """
         self._listen = listen
         self._entry_ttl_s = entry_ttl_s
+        self._page_rows = page_rows
+        self.on_page: Callable[[str], Awaitable[None]] | None = None
         self._entry_written_at: dict[str, float] = {}
         self._expiry_task: asyncio.Task[None] | None = None
         self._rows: dict[tuple[str, str], wire.Row] = {}
@@ -168,9 +179,24 @@
 
     async def _get_rows(self, req: web.Request) -> web.Response:
         table = req.query["table"]
-        rows = tuple(self._rows[table, key] for key in self.keys(table))
+        first_key = req.query.get("from", "")
+        rows = [
+            self._rows[table, key]
+            for key in self.keys(table)
+            if key >= first_key
+        ]
+        resp = self._encode_page(rows)
+        if self.on_page is not None:
+            await self.on_page(table)
+        return resp
+
+    def _encode_page(self, rows: list[wire.Row]) -> web.Response:
         return json_responses.encode(
-            wire.RowsReply(rows=rows, ver=self._version)
+            wire.RowsReply(
+                rows=tuple(rows[: self._page_rows]),
+                ver=self._version,
+                has_more=len(rows) > self._page_rows,
+            )
         )
 
     async def _get_feed(self, req: web.Request) -> web.Response:
@@ -178,16 +204,14 @@
         after = int(req.query["after"])
         deadline = time.monotonic() + int(req.query["wait_ms"]) / 1000
         while not self.down and after >= self._compacted_version:
-            rows = tuple(
+            rows = [
                 row
                 for row_table, row in self._feed
                 if row_table == table and row.ver > after
-            )
+            ]
             remaining_s = deadline - time.monotonic()
             if rows or remaining_s <= 0:
-                return json_responses.encode(
-                    wire.RowsReply(rows=rows, ver=self._version)
-                )
+                return self._encode_page(rows)
             await self._wait_for_change(remaining_s)
         if self.down:
             return json_responses.error_response(_UNAVAILABLE_STATUS, "down")
--- a/tests/transport/edge_stack.py
+++ b/tests/transport/edge_stack.py
@@ -245,6 +245,7 @@
     nodes: int = 1,
     configured: bool = True,
     zones: str = "a",
+    store_page_rows: int = metadata_store.DEFAULT_PAGE_ROWS,
 ) -> AsyncIterator[EdgeStack]:
     """Yields a running stack and closes it at the end.
 
@@ -252,7 +253,9 @@
     """
     async with contextlib.AsyncExitStack() as exit_stack:
         store_endpoint = _endpoint()
-        store = metadata_store.MetadataStoreStandin(listen=store_endpoint)
+        store = metadata_store.MetadataStoreStandin(
+            listen=store_endpoint, page_rows=store_page_rows
+        )
         await store.start()
         exit_stack.push_async_callback(store.close)
         started_workers = tuple(Worker(name=f"w{i}") for i in range(workers))
--- a/tests/transport/test_edge_service.py
+++ b/tests/transport/test_edge_service.py
@@ -512,6 +512,31 @@
         assert len(draining_worker.ran) == runs_before
 
 
+async def test_worker_that_leaves_between_two_pages_gets_no_requests() -> None:
+    """Guards against a change of the list after its page was read.
+
+    No later reply of the store holds it.
+    """
+    async with edge_stack.run(nodes=0, store_page_rows=1) as cluster:
+        leaving = cluster.workers[0]
+
+        async def leave(table: str) -> None:
+            if table == "servers":
+                cluster.store.on_page = None
+                entry = leaving.entry(sequence=2, state="draining")
+                await cluster.store.put("servers", leaving.name, entry)
+
+        cluster.store.on_page = leave
+        async with cluster.add_node() as node:
+            await node.wait_ready()
+            for number in range(30):
+                async with node.request(
+                    "GET", "/read/x", request_id=f"q{number}"
+                ) as resp:
+                    assert resp.status == 200
+        assert leaving.ran == []
+
+
 async def test_one_node_of_a_zone_reads_the_store() -> None:
     """Guards against store reads by every node, and stale followers."""
     async with edge_stack.run(nodes=3) as cluster:
