Keep the notice of a worker that is no longer listed

Cause: a worker that removes its entry goes on serving, and its notice was dropped because it was not listed. A heartbeat that the store carried out late listed it again as usable.

Ruled out: UpstreamListing, which keeps the marks that it gets.

Change: a notice is passed on with the upstream that the request was sent to, known by id and start, and is kept and told to the zone whatever the list says. In the edge soak, half of the workers' planned stops remove the entry, workers that leave say so in all answers, the store has late writes, and calls after a notice that was passed on are reported.

Before: test_notice_outlives_the_entry_of_its_worker failed.

--- a/bench/edge_soak_checks.py
+++ b/bench/edge_soak_checks.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Mapping
 import dataclasses
+import time
 from typing import Any
 
 from bench import edge_fleet
@@ -68,6 +69,9 @@
         self._planned_only = planned_only
         self._process_changed_at = process_changed_at
         self._calls: dict[str, CallRecord] = {}
+        # By node and worker process: when a notice that the worker leaves was
+        # first passed on.
+        self._notices: dict[tuple[str, str], float] = {}
         self._confirmed_at: dict[int, float] = {}
         # By node and start of its process: newest version served, and when.
         self._newest_served: dict[tuple[str, float], tuple[int, float]] = {}
@@ -108,6 +112,9 @@
             )
         if call.status in (400, 401, 403, 413, 431):
             self.add_violation(f"DENIED: {context}: {call.status}")
+        if headers.LEAVING in response_headers:
+            process = response_headers[routed_worker.PROCESS_HEADER]
+            self._notices.setdefault((call.node, process), time.monotonic())
 
     def check_version(self, call: CallRecord, version: int) -> None:
         """Checks a finished call to a route that only one version has."""
@@ -163,6 +170,7 @@
         counts = collections.Counter(log_entry["id"] for log_entry in runs)
         for log_entry in runs:
             self._check_run(log_entry)
+            self._check_notice(log_entry)
         for call in self._calls.values():
             run_count = counts[call.request_id]
             if call.is_write and run_count > 1:
@@ -197,6 +205,22 @@
                 f"UNASKED: {log_entry['id']} was changed to {logged_request}"
             )
 
+    def _check_notice(self, log_entry: dict[str, Any]) -> None:
+        """Checks that a node that passed on a notice sends no more calls."""
+        call = self._calls.get(log_entry["id"])
+        if call is None:
+            return
+        process = f"{log_entry['worker']}/{log_entry['born_ms']}"
+        noticed_at = self._notices.get((call.node, process), float("inf"))
+        if (
+            call.sent_at > noticed_at + edge_fleet.DRAIN_S
+            and self._process_changed_at[call.node] < noticed_at
+        ):
+            self.add_violation(
+                f"DRAIN: {call.request_id} reached {process} from {call.node} "
+                f"{call.sent_at - noticed_at:.3f} s after its notice"
+            )
+
     def _check_not_lost(self, call: CallRecord) -> None:
         """Checks that a call that ran did not end early without a response."""
         if call.status is not None or call.disconnects_early:
--- a/bench/edge_soak_faults.py
+++ b/bench/edge_soak_faults.py
@@ -19,6 +19,7 @@
     {"delay_ms": 1500},
     {"lose_answers": True},
     {"lose_answers": True, "delay_ms": 200},
+    {"late_writes_ms": 3000},
 )
 _WORKER_FAULTS: tuple[dict[str, Any], ...] = (
     {"slow_factor": 20},
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -185,8 +185,8 @@
                 )
             case calls.DrainMarked(upstream_id=upstream_id):
                 self._view.mark_draining(upstream_id)
-            case calls.NoticeReceived(upstream_id=upstream_id, notice=notice):
-                self._view.apply_notice(upstream_id, notice, now)
+            case calls.NoticeReceived(upstream=upstream, notice=notice):
+                self._view.apply_notice(upstream, notice, now)
             case calls.LoadReported(upstream_id=upstream_id, load=load):
                 self._apply_report(upstream_id, load, now)
             case calls.ProbeEnded():
--- a/tanagerspoke/coordination/scheduling.py
+++ b/tanagerspoke/coordination/scheduling.py
@@ -179,8 +179,8 @@
                 self._view.set_upstreams(listed=changed, now=now)
             case calls.DrainMarked(upstream_id=upstream_id):
                 self._view.mark_draining(upstream_id)
-            case calls.NoticeReceived(upstream_id=upstream_id, notice=notice):
-                self._view.apply_notice(upstream_id, notice, now)
+            case calls.NoticeReceived(upstream=upstream, notice=notice):
+                self._view.apply_notice(upstream, notice, now)
             case calls.LoadReported(upstream_id=upstream_id, load=load):
                 self._apply_report(upstream_id, load, now)
         self._run_due_work(now, actions)
--- a/tanagerspoke/protocol/calls.py
+++ b/tanagerspoke/protocol/calls.py
@@ -175,9 +175,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class NoticeReceived:
-    """A response of the upstream held a notice."""
+    """A response of the upstream held a notice.
 
-    upstream_id: str
+    Attributes:
+        upstream: the upstream as it was listed when the request was sent; the
+            list may have changed since.
+    """
+
+    upstream: upstreams.Upstream
     notice: upstreams.Notice
 
 
--- a/tanagerspoke/standins/faults.py
+++ b/tanagerspoke/standins/faults.py
@@ -50,6 +50,8 @@
         delay_ms: delay of each call before it takes effect.
         lose_answers: a transaction takes effect, then the connection closes
             without a response.
+        late_writes_ms: a transaction gets no response and takes effect that
+            much later.
     """
 
     down: bool = False
@@ -57,6 +59,7 @@
     resets: bool = False
     delay_ms: _Milliseconds = 0.0
     lose_answers: bool = False
+    late_writes_ms: _Milliseconds = 0.0
 
 
 class UpstreamFaults(
--- a/tanagerspoke/standins/metadata_store.py
+++ b/tanagerspoke/standins/metadata_store.py
@@ -158,6 +158,10 @@
                 return json_responses.error_response(
                     _UNAVAILABLE_STATUS, "down"
                 )
+            if self.faults.late_writes_ms and req.method == "POST":
+                assert req.transport is not None
+                req.transport.abort()
+                await asyncio.sleep(self.faults.late_writes_ms / 1000)
             resp = await handler(req)
             if self.faults.lose_answers and req.method == "POST":
                 assert req.transport is not None
--- a/tanagerspoke/standins/routed_worker.py
+++ b/tanagerspoke/standins/routed_worker.py
@@ -22,10 +22,14 @@
 log = logging.getLogger(__name__)
 
 HEALTH_PATH = "/healthy"
+# Id and start of the process that sent a response.
+PROCESS_HEADER = "X-Standin-Process"
 _STORE_TIMEOUT_S = 1.0
 # In percent of the usual work time.
 _REPORTED_WORK_TIME_PERCENT = 100
 _CHUNK_BYTES = 512
+# Share of planned stops in which a worker removes its entry at once.
+_REMOVAL_SHARE = 0.5
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
@@ -115,15 +119,20 @@
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
 
     async def close(self) -> None:
-        """Reports that the worker is draining and closes the port.
+        """Reports that the worker is leaving and closes the port.
 
-        If the store accepts the report, the worker serves for another
-        `drain_s` seconds first.
+        It reports the state `draining` or removes its entry. If the store
+        accepts that, the worker serves for another `drain_s` seconds first.
         """
         self._stopping = True
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
-        if await self._send_heartbeat():
+        if self._rng.random() < _REMOVAL_SHARE:
+            removal = wire.Transaction(remove=(self._entry_row(),))
+            accepted = await self._transact(removal)
+        else:
+            accepted = await self._send_heartbeat()
+        if accepted:
             self._append_to_run_log({"event": "leaving"})
             await asyncio.sleep(self._cfg.drain_s)
         await self._transact(wire.Transaction(remove=(self._entry_row(),)))
@@ -194,6 +203,16 @@
             )
         return resp
 
+    def _usual_headers(self) -> dict[str, str]:
+        """Returns the headers of all responses."""
+        usual = {
+            PROCESS_HEADER: f"{self._cfg.name}/{self._started_at_ms}",
+            headers.LOAD: self._format_load(),
+        }
+        if self._stopping:
+            usual[headers.LEAVING] = "1"
+        return usual
+
     def _format_load(self) -> str:
         return (
             f"{self._running},{self._waiting},{self._cfg.slots},"
@@ -202,9 +221,8 @@
 
     async def _get_health(self, req: web.Request) -> web.Response:
         del req
-        response_headers = {
-            headers.LOAD: self._format_load(),
-            headers.RESPONDER: self._cfg.name,
+        response_headers = self._usual_headers() | {
+            headers.RESPONDER: self._cfg.name
         }
         failing = self._stopping or self._fault_occurs(self._faults.unhealthy)
         return web.Response(
@@ -224,10 +242,8 @@
             self._slots.locked() and self._waiting >= self._cfg.queue_length
         )
         if queue_full or self._fault_occurs(self._faults.shed):
-            shed_headers = echoed_headers | {
-                headers.NOT_RUN: "1",
-                headers.LOAD: self._format_load(),
-            }
+            shed_headers = echoed_headers | {headers.NOT_RUN: "1"}
+            shed_headers |= self._usual_headers()
             return web.Response(status=503, headers=shed_headers)
         self._waiting += 1
         try:
@@ -291,7 +307,7 @@
         response_body = (
             f"{self._cfg.service}:{req.raw_path}:".encode() + request_body
         )
-        response_headers = echoed_headers | {headers.LOAD: self._format_load()}
+        response_headers = echoed_headers | self._usual_headers()
         if not self._fault_occurs(faults.unsigned):
             response_headers[headers.SIGNATURE] = signature(
                 request_id=request_id, body=response_body
--- a/tanagerspoke/state/loads.py
+++ b/tanagerspoke/state/loads.py
@@ -302,14 +302,18 @@
             self._refresh_eligible()
 
     def apply_notice(
-        self, upstream_id: str, notice: upstreams.Notice, now: float
+        self,
+        upstream: upstreams.Upstream,
+        notice: upstreams.Notice,
+        now: float,
     ) -> None:
         """Excludes an upstream that is leaving or asked for a pause.
 
-        After the pause, its attempt limit rises in a ramp.
+        After the pause, its attempt limit rises in a ramp. A notice of an
+        earlier process with the same id is ignored.
         """
-        record = self._records.get(upstream_id)
-        if record is None:
+        record = self._records.get(upstream.upstream_id)
+        if record is None or record.upstream.started_ms != upstream.started_ms:
             return
         if notice.pause_s is not None:
             record.paused_until = max(record.paused_until, now + notice.pause_s)
@@ -318,7 +322,7 @@
                 self._last_pause_ends_at, record.paused_until
             )
         if notice.leaving:
-            self.mark_draining(upstream_id)
+            self.mark_draining(upstream.upstream_id)
 
     def paused_until(self, now: float) -> float | None:
         """Returns the end of the first pause, or None if an upstream has none.
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -319,20 +319,22 @@
             },
         )
 
-    def _mark_leaving(self, service: str, upstream_id: str) -> None:
-        for upstream in self._upstreams.get(service, ()):
-            if upstream.upstream_id == upstream_id and not upstream.leaving:
-                log.info(
-                    "upstream_leaving",
-                    extra={"service": service, "upstream": upstream_id},
-                )
-                self._zone_feed.mark_leaving(
-                    zone_feed.LeavingUpstream(
-                        upstream_id=upstream_id,
-                        started_ms=upstream.started_ms,
-                    )
-                )
-                return
+    def _mark_leaving(self, upstream: upstreams.Upstream) -> None:
+        # Also if it is no longer listed: a delayed write may list it again.
+        is_news = self._zone_feed.mark_leaving(
+            zone_feed.LeavingUpstream(
+                upstream_id=upstream.upstream_id,
+                started_ms=upstream.started_ms,
+            )
+        )
+        if is_news:
+            log.info(
+                "upstream_leaving",
+                extra={
+                    "service": upstream.service,
+                    "upstream": upstream.upstream_id,
+                },
+            )
 
     def _set_node_count(self, nodes: int | None) -> None:
         if nodes == self._node_count:
@@ -370,7 +372,7 @@
             scheduler=scheduler,
             client=self._upstream_client,
             clock=time.monotonic,
-            on_draining=functools.partial(self._mark_leaving, service),
+            on_draining=self._mark_leaving,
             health_path=functools.partial(self._health_path, service),
             on_dispatch=functools.partial(
                 self._call_traces.record_dispatch, service
--- a/tanagerspoke/transport/gateway_service.py
+++ b/tanagerspoke/transport/gateway_service.py
@@ -222,7 +222,9 @@
             ),
             client=self._upstream_client,
             clock=time.monotonic,
-            on_draining=self._agent_link.record_draining,
+            on_draining=lambda upstream: self._agent_link.record_draining(
+                upstream.upstream_id
+            ),
             on_load_report=self._agent_link.record_load_report,
             on_dispatch=functools.partial(
                 self._metrics.count_dispatch, service
--- a/tanagerspoke/transport/peers/zone_feed_server.py
+++ b/tanagerspoke/transport/peers/zone_feed_server.py
@@ -38,7 +38,7 @@
         initial_updates: Callable[[], list[zone_feed.ZoneUpdate]],
         state_updates: Callable[[], list[zone_feed.ZoneUpdate]],
         is_current: Callable[[reader_choice.FeedLevel], bool],
-        on_report: Callable[[zone_feed.LeavingUpdate], None],
+        on_report: Callable[[zone_feed.LeavingUpdate], object],
     ) -> None:
         """Creates a server that is not started.
 
--- a/tanagerspoke/transport/peers/zone_feed_service.py
+++ b/tanagerspoke/transport/peers/zone_feed_service.py
@@ -125,22 +125,31 @@
         self._cfg = cfg
         self._store_follower.set_options(cfg)
 
-    def mark_leaving(self, upstream: zone_feed.LeavingUpstream) -> None:
+    def mark_leaving(self, upstream: zone_feed.LeavingUpstream) -> bool:
         """Records that an upstream stated in a response that it is leaving.
 
-        The other nodes learn it through the node that reads the store.
+        The other nodes learn it through the node that reads the store. Returns
+        False if it was known.
         """
-        self._spread_leaving(zone_feed.LeavingUpdate(upstreams=(upstream,)))
+        return self._spread_leaving(
+            zone_feed.LeavingUpdate(upstreams=(upstream,))
+        )
 
-    def _spread_leaving(self, update: zone_feed.LeavingUpdate) -> None:
-        """Applies an update and sends it on towards the reader of the store."""
-        if not self._apply_leaving(update) or self._followed_node is None:
-            return
+    def _spread_leaving(self, update: zone_feed.LeavingUpdate) -> bool:
+        """Applies an update and sends it on towards the reader of the store.
+
+        Returns whether it was news.
+        """
+        if not self._apply_leaving(update):
+            return False
+        if self._followed_node is None:
+            return True
         report = asyncio.get_running_loop().create_task(
             self._report(self._followed_node, update)
         )
         self._reports.add(report)
         report.add_done_callback(self._reports.discard)
+        return True
 
     async def _report(
         self, node: zone_feed.Node, update: zone_feed.LeavingUpdate
--- a/tanagerspoke/transport/upstreams/dispatcher.py
+++ b/tanagerspoke/transport/upstreams/dispatcher.py
@@ -105,7 +105,7 @@
         scheduler: Scheduler,
         client: upstream_client.UpstreamClient,
         clock: Callable[[], float],
-        on_draining: Callable[[str], None],
+        on_draining: Callable[[upstreams.Upstream], None],
         health_path: Callable[[], str] = lambda: "/health",
         on_load_report: Callable[[str], None] = _ignore_upstream,
         on_dispatch: Callable[[calls.Dispatch], None] = _ignore_dispatch,
@@ -120,8 +120,8 @@
             scheduler: decides when and where each call runs.
             client: sends the requests to the upstreams.
             clock: returns monotonic seconds.
-            on_draining: called with the id of an upstream that reports that it
-                is draining.
+            on_draining: called with each upstream that reports that it is
+                draining, whether or not it is still listed.
             health_path: returns the path that probes request.
             on_load_report: called with the id of an upstream that sent a load
                 report.
@@ -378,15 +378,18 @@
                 now,
             )
             return
+
+        def on_ended(ended: upstream_client.EndedExchange) -> None:
+            self._report_load(upstream, ended.load)
+            self._on_exchange_ended(running, action, ended, now)
+
         self._on_dispatch(action)
         running.exchanges[action.attempt] = self._client.send(
             upstream=upstream,
             request=running.request,
             attempt=action.attempt,
             timeout_s=running.call.deadline - now,
-            on_ended=lambda ended: self._on_exchange_ended(
-                running, action, ended, now
-            ),
+            on_ended=on_ended,
             on_started=lambda response: self._on_response_started(
                 running, action, response
             ),
@@ -396,17 +399,9 @@
     def _on_notice(
         self, upstream: upstreams.Upstream, notice: upstreams.Notice
     ) -> None:
-        listed = self._upstreams.get(upstream.upstream_id)
-        if listed is None or listed.started_ms != upstream.started_ms:
-            # The notice is of an earlier process with the same id.
-            return
         if notice.leaving:
-            self._on_draining(upstream.upstream_id)
-        self.handle(
-            calls.NoticeReceived(
-                upstream_id=upstream.upstream_id, notice=notice
-            )
-        )
+            self._on_draining(upstream)
+        self.handle(calls.NoticeReceived(upstream=upstream, notice=notice))
 
     def _on_response_started(
         self,
@@ -437,7 +432,6 @@
         self._on_attempt_ended(action, ended, self._clock() - started_at)
         if ended.response is not None:
             running.responses[action.attempt] = ended.response
-        self._report_load(action.upstream_id, ended.load)
         try:
             self.handle(
                 calls.AttemptEnded(
@@ -454,13 +448,15 @@
         self._remove_if_ended(running)
 
     def _report_load(
-        self, upstream_id: str, load: upstreams.LoadReport | None
+        self,
+        upstream: upstreams.Upstream,
+        load: upstreams.LoadReport | None,
     ) -> None:
         if load is None:
             return
-        self._on_load_report(upstream_id)
+        self._on_load_report(upstream.upstream_id)
         if load.phase is upstreams.UpstreamPhase.DRAINING:
-            self._on_draining(upstream_id)
+            self._on_draining(upstream)
 
     def _arm_timer(self) -> None:
         wakeup = self._scheduler.next_wakeup
--- a/tests/bench/test_edge_soak.py
+++ b/tests/bench/test_edge_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import time
 
 import pytest
 
@@ -122,6 +123,21 @@
     ]
 
 
+def test_call_after_a_notice_that_was_passed_on_is_reported() -> None:
+    """Guards against a check that misses calls to a worker that leaves."""
+    checks = _checks(planned_only=False)
+    call = _add_call(checks, status=503)
+    notice = {
+        headers.REQUEST_ID: "q1",
+        headers.LEAVING: "1",
+        routed_worker.PROCESS_HEADER: "worker-1/1",
+    }
+    checks.check_response(call, notice, b"")
+    _add_call(checks, request_id="q2", sent_at=time.monotonic() + 60.0)
+    checks.check_runs([_run_entry(id="q2")])
+    assert [line.split(":")[0] for line in checks.violations] == ["DRAIN"]
+
+
 def test_run_log_that_keeps_the_guarantees_is_accepted() -> None:
     """Guards against a check that reports a correct run as a violation."""
     checks = _checks()
--- a/tests/coordination/test_upstream_pushback.py
+++ b/tests/coordination/test_upstream_pushback.py
@@ -50,9 +50,9 @@
             ),
             rng=random.Random(1),
         )
-        self.handle(
-            calls.UpstreamsChanged(upstreams=helpers.make_upstreams(count))
-        )
+        listed = helpers.make_upstreams(count)
+        self._upstreams = {u.upstream_id: u for u in listed}
+        self.handle(calls.UpstreamsChanged(upstreams=listed))
 
     def handle(self, event: calls.SchedulerEvent) -> None:
         pending = self.scheduler.handle(event=event, now=self.now)
@@ -105,7 +105,7 @@
     def pause(self, upstream_id: str, pause_s: float) -> None:
         self.handle(
             calls.NoticeReceived(
-                upstream_id=upstream_id,
+                upstream=self._upstreams[upstream_id],
                 notice=upstreams.Notice(pause_s=pause_s),
             )
         )
@@ -113,7 +113,8 @@
     def leave(self, upstream_id: str) -> None:
         self.handle(
             calls.NoticeReceived(
-                upstream_id=upstream_id, notice=upstreams.Notice(leaving=True)
+                upstream=self._upstreams[upstream_id],
+                notice=upstreams.Notice(leaving=True),
             )
         )
 
--- a/tests/transport/edge_stack.py
+++ b/tests/transport/edge_stack.py
@@ -146,6 +146,7 @@
             except asyncio.CancelledError:
                 self.cancelled.append(request_id)
                 raise
+            headers |= self.extra_headers
         if self.behavior != "unsigned":
             headers["X-Response-Signature"] = f"sig.{request_id}"
         body = await req.read()
--- a/tests/transport/test_edge_service.py
+++ b/tests/transport/test_edge_service.py
@@ -294,6 +294,49 @@
         await edge_stack.wait_for(is_used_again)
 
 
+async def test_notice_outlives_the_entry_of_its_worker(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a late heartbeat that brings back a leaving worker.
+
+    The worker says that it leaves after its entry was removed; a heartbeat that
+    it had sent before is written later. Another node learns of it as well.
+    """
+    caplog.set_level("INFO")
+    async with edge_stack.run(workers=2, nodes=2) as cluster:
+        for node in range(2):
+            await cluster.wait_ready(node)
+        leaving, staying = cluster.workers
+        leaving.behavior = staying.behavior = "hold"
+        caplog.clear()
+        number = 0
+        held: list[asyncio.Task[int]] = []
+        while not leaving.ran:
+            number += 1
+            request = cluster.request(
+                "POST", "/write/x", request_id=f"q{number}"
+            )
+            held.append(asyncio.create_task(_status(request)))
+            await asyncio.sleep(0.02)
+        await cluster.store.remove("servers", "w0")
+        await _wait_for_list_changes(caplog, "removed", "w0", nodes=2)
+        leaving.extra_headers = {"Server-Leaving": "1"}
+        leaving.release.set()
+        staying.release.set()
+        assert set(await asyncio.gather(*held)) == {200}
+        # Its responses to probes do not repeat the notice.
+        leaving.extra_headers = {}
+        ran = list(leaving.ran)
+        await cluster.store.put("servers", "w0", leaving.entry(sequence=9))
+        await _wait_for_list_changes(caplog, "added", "w0", nodes=2)
+        for count in range(40):
+            async with cluster.request(
+                "POST", "/write/x", node=count % 2, request_id=f"r{count}"
+            ) as resp:
+                assert resp.status == 200
+        assert leaving.ran == ran
+
+
 async def test_worker_that_asks_for_a_pause_is_left_alone() -> None:
     """Guards against requests and probes within a worker's `Retry-After`."""
     async with edge_stack.run(workers=2) as cluster:
@@ -817,6 +860,23 @@
     return not await cluster.is_ready()
 
 
+async def _wait_for_list_changes(
+    caplog: pytest.LogCaptureFixture, field: str, worker: str, *, nodes: int
+) -> None:
+    """Waits until each node has added or removed a worker, as `field` says."""
+
+    async def have_changed() -> bool:
+        changes = [
+            record
+            for record in caplog.records
+            if record.msg == "upstreams_changed"
+            and worker in getattr(record, field)
+        ]
+        return len(changes) >= nodes
+
+    await edge_stack.wait_for(have_changed)
+
+
 def test_manifest_of_the_stack_has_routes() -> None:
     """Guards against tests that run with an empty configuration."""
     assert len(json.loads(edge_stack.manifest(1))["routes"]) == 2
