Remember the health of upstreams that were removed from the list

Callers could see: calls to a worker inside the pause that it had asked for, or to one that had just failed, after its entry was removed and came back.

Cause: LoadView dropped the record of an unlisted upstream without attempts in flight, with its pause, ejection and failures.

Ruled out: renewed entries and entries with another port kept both.

Change: the records of the last 64 removed upstreams of a service are kept. A mark set because another process answered ends with a new address.

Before: test_pause_and_ejection_outlive_a_change_of_the_entry[removed] (two cases), test_upstream_with_a_new_address_is_used_again and test_memory_of_removed_upstreams_is_bounded failed. After: they pass.

--- a/tanagerspoke/state/loads.py
+++ b/tanagerspoke/state/loads.py
@@ -40,6 +40,10 @@
 # that doubles with each further one.
 _MIN_PROBE_LAST_S = 0.25
 _MAX_PROBE_LAST_S = 8.0
+# Removed upstreams of a service whose health is remembered, in case a delayed
+# write lists them again. Those removed first are forgotten first: they are the
+# least likely to return, and they return with a reduced attempt limit.
+_MAX_UNLISTED = 64
 # Bounds the memory of recent reports.
 _MAX_RECENT_REPORTS = 512
 
@@ -271,27 +275,43 @@
         self, *, listed: Iterable[upstreams.Upstream], now: float
     ) -> None:
         """Sets the complete list; counts of attempts in flight are kept."""
-        is_first_list = not self._records
+        was_listed = {
+            upstream_id
+            for upstream_id, record in self._records.items()
+            if record.listed
+        }
         for record in self._records.values():
             record.listed = False
         for upstream in listed:
             record = self._records.get(upstream.upstream_id)
+            is_new = upstream.upstream_id not in was_listed
             if (
                 record is None
                 or record.upstream.started_ms != upstream.started_ms
             ):
                 record = UpstreamLoad(upstream=upstream)
-                # All upstreams are new to a process that starts; it must not
-                # reduce its limits at all of them.
-                record.ramp_starts_at = None if is_first_list else now
                 self._records[upstream.upstream_id] = record
+                is_new = True
+            # If no upstream was listed, as at the start, the limits must not be
+            # reduced at all of them.
+            if is_new and was_listed and not record.local_in_flight:
+                record.ramp_starts_at = max(now, record.ramp_starts_at or now)
             drain_ended = record.upstream.leaving and not upstream.leaving
-            if drain_ended and not record.reports_draining:
+            has_moved = (record.upstream.address, record.upstream.port) != (
+                upstream.address,
+                upstream.port,
+            )
+            if (drain_ended or has_moved) and not record.reports_draining:
                 record.draining = False
             record.upstream = upstream
             record.slots = max(1, upstream.slots)
             record.listed = True
-        self._remove_idle_unlisted()
+        for upstream_id, record in list(self._records.items()):
+            if not record.listed and upstream_id in was_listed:
+                # Moves it to the end, so that the records of removed upstreams
+                # are in the order of removal.
+                self._records[upstream_id] = self._records.pop(upstream_id)
+        self._forget_unlisted()
         self._refresh_eligible()
 
     def mark_draining(self, upstream_id: str) -> None:
@@ -335,9 +355,9 @@
         return first_end if first_end > now else None
 
     def remove_if_idle(self, record: UpstreamLoad) -> None:
-        """Removes an upstream that is no longer listed if it is idle."""
+        """Forgets removed upstreams beyond the limit once they are idle."""
         if not record.listed:
-            self._remove_idle_unlisted()
+            self._forget_unlisted()
 
     def record_report(
         self,
@@ -417,13 +437,13 @@
         elif phase is upstreams.UpstreamPhase.COLD:
             record.ramp_starts_at = now
 
-    def _remove_idle_unlisted(self) -> None:
-        removed = [
+    def _forget_unlisted(self) -> None:
+        idle = [
             upstream_id
             for upstream_id, record in self._records.items()
             if not record.listed and not record.local_in_flight
         ]
-        for upstream_id in removed:
+        for upstream_id in idle[:-_MAX_UNLISTED]:
             del self._records[upstream_id]
 
     def _refresh_eligible(self) -> None:
