End a call only when its last byte has left the process

Cause: a call counted as ended once its response was in the transport's buffer, up to 64 KB of it, and the stop waits only for calls that run.

Ruled out: the deadline of the stop, since the process ended 3 s after SIGTERM with grace_s 6.

Change: callers' transports pause writing while a byte is unsent, so the call ends, and the stop goes on, when all of the response has left the process.

Before: test_call_ends_when_its_last_byte_has_left_the_process failed.

--- a/tanagerspoke/transport/callers/caller_connection.py
+++ b/tanagerspoke/transport/callers/caller_connection.py
@@ -150,6 +150,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the event loop."""
         super().connection_made(transport)
+        # Writing pauses while any byte is unsent; see `finish`.
+        transport.set_write_buffer_limits(high=0)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -212,9 +214,10 @@
     def finish(self, *, keep_alive: bool) -> None:
         """Ends the call after its response was written.
 
-        The next request starts only once the caller has read most of the
-        response. The connection is reset if that takes longer than the maximum
-        deadline of a call.
+        It ends, and the next request starts, only once the last byte of the
+        response has been handed to the operating system, so that a stop of the
+        process waits for it. The connection is reset if that takes longer than
+        the maximum deadline of a call.
         """
         self._keep_alive = keep_alive
         if self._unread_payload is not None:
@@ -247,7 +250,7 @@
             self.transport.close()
 
     async def drain(self) -> None:
-        """Waits until the caller has read most of what was written."""
+        """Waits until all that was written has left the process."""
         if self._paused:
             await self._drain_helper()
 
--- a/tests/transport/callers/test_caller_connection.py
+++ b/tests/transport/callers/test_caller_connection.py
@@ -1,10 +1,12 @@
 """Connections of callers, with a handler that records the events."""
 
 import asyncio
+import socket
 
 import pytest
 
 from tanagerspoke.transport.callers import caller_connection
+from tests import stack as stacks
 
 
 class RecordingHandler:
@@ -128,3 +130,50 @@
     assert conn.headers_started_at == started_at
     conn.data_received(b"\r\n")
     assert conn.headers_started_at is None
+
+
+class _FillingHandler(RecordingHandler):
+    """Writes a response until the kernel takes no more of it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.conn: caller_connection.CallerConnection | None = None
+        self.written_bytes = 0
+
+    def run_call(self, conn, body: bytes) -> None:
+        """Writes until some bytes stay in the process, then ends the call."""
+        del body
+        self.conn = conn
+        while not conn.transport.get_write_buffer_size():
+            conn.transport.write(b"x" * 4096)
+            self.written_bytes += 4096
+        conn.finish(keep_alive=False)
+
+
+async def test_call_ends_when_its_last_byte_has_left_the_process() -> None:
+    """Guards against a stop that ends the process with unsent responses.
+
+    The stop waits for calls that have not ended.
+    """
+    loop = asyncio.get_running_loop()
+    handler = _FillingHandler()
+    server = await loop.create_server(
+        lambda: _new_connection(handler), "127.0.0.1", 0
+    )
+    with socket.socket() as sock:
+        sock.setblocking(False)
+        await loop.sock_connect(sock, server.sockets[0].getsockname())
+        await loop.sock_sendall(sock, b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+
+        async def has_written() -> bool:
+            return handler.conn is not None
+
+        await stacks.wait_until(has_written, "the response")
+        await asyncio.sleep(0.05)
+        assert handler.conn.call is not None
+        received_bytes = 0
+        while data := await loop.sock_recv(sock, 65_536):
+            received_bytes += len(data)
+        assert received_bytes == handler.written_bytes
+        assert handler.conn.call is None
+    server.close()
