Measure an edge whose 50 workers send without end at once

Another operator's report: a worker sent bytes without end and the machine ran out of memory.

The test is the existing one with a second pace; nothing in it is looser.

--- a/tests/processes/test_endless_responses.py
+++ b/tests/processes/test_endless_responses.py
@@ -8,6 +8,7 @@
 import time
 
 import aiohttp
+import pytest
 
 from bench import edge_fleet
 from tests import stack as stacks
@@ -44,10 +45,13 @@
 
 
 @contextlib.asynccontextmanager
-async def _nonsense_workers(contacted: set[int]) -> AsyncIterator[list[int]]:
+async def _nonsense_workers(
+    contacted: set[int], *, pause_s: float
+) -> AsyncIterator[list[int]]:
     """Yields the ports of workers that respond with the patterns.
 
-    `contacted` receives the numbers of the workers that were called.
+    `contacted` receives the numbers of the workers that were called. They
+    pause between two units of their patterns.
     """
 
     def handler_for(number: int):
@@ -62,7 +66,7 @@
             while True:
                 writer.write(unit)
                 await writer.drain()
-                await asyncio.sleep(0.001)
+                await asyncio.sleep(pause_s)
 
         return handle
 
@@ -102,18 +106,20 @@
     return status, time.monotonic() - started_at
 
 
+@pytest.mark.parametrize(("pause_s", "call_interval_s"), [(0.001, 0.1), (0, 0)])
 async def test_nonsense_from_fifty_workers_costs_bounded_memory(
-    tmp_path: pathlib.Path,
+    tmp_path: pathlib.Path, pause_s: float, call_interval_s: float
 ) -> None:
     """Guards against workers whose bytes fill an edge's memory or time.
 
     Their callers get an error within the deadline, and calls of another
-    service are served meanwhile.
+    service are served meanwhile. The workers are slow and called one after
+    another, or they send without a pause and are called at once.
     """
     fleet = edge_fleet.EdgeFleet(directory=tmp_path)
     contacted: set[int] = set()
     async with (
-        _nonsense_workers(contacted) as ports,
+        _nonsense_workers(contacted, pause_s=pause_s) as ports,
         contextlib.AsyncExitStack() as exit_stack,
     ):
         try:
@@ -143,17 +149,21 @@
             most_memory_mb = memory_before_mb
             started_at = time.monotonic()
 
-            async def run_calls(path: str) -> list[tuple[int, float]]:
+            async def run_calls(
+                path: str, interval_s: float
+            ) -> list[tuple[int, float]]:
                 pending = []
                 while len(pending) < _MIN_CALLS or (
                     len(contacted) < _WORKERS // 2 and len(pending) < _MAX_CALLS
                 ):
                     call = _call(fleet, node, path, len(pending) + 1)
                     pending.append(asyncio.create_task(call))
-                    await asyncio.sleep(0.1)
+                    await asyncio.sleep(interval_s)
                 return await asyncio.gather(*pending)
 
-            calls = asyncio.gather(run_calls("/read/"), run_calls("/pull/"))
+            calls = asyncio.gather(
+                run_calls("/read/", call_interval_s), run_calls("/pull/", 0.1)
+            )
             while not calls.done():
                 most_memory_mb = max(most_memory_mb, raw_workers.memory_mb(pid))
                 await asyncio.sleep(0.05)
