Share the changes between replies in the tests of the store

The node of the state machine and the single read had the same loop that applies the next changes after each reply; it stands once now, in the client of the tests. Assertions, examples and bounds are as before.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -114,6 +114,16 @@
         self._table = table
         self.between_replies: Callable[[], None] = lambda: None
 
+    def change_between_replies(self, changes: list[list[str]]) -> None:
+        """Applies the next of these changes to the table after each reply."""
+        pending = list(changes)
+
+        def apply_next() -> None:
+            for change in pending.pop(0) if pending else ():
+                self._table.apply(change)
+
+        self.between_replies = apply_next
+
     async def _get_rows(
         self, path: str, params: dict[str, str], *, wait_s: float = 0.0
     ) -> wire.RowsReply:
@@ -128,18 +138,11 @@
 
     def __init__(self, *, table: _Table) -> None:
         self._source = _Store(table=table)
-        self._table = table
         self._position: int | None = None
         self.listing = upstream_listing.UpstreamListing()
 
     def read(self, changes_between_replies: list[list[str]]) -> None:
-        pending = list(changes_between_replies)
-
-        def change_rows() -> None:
-            for change in pending.pop(0) if pending else ():
-                self._table.apply(change)
-
-        self._source.between_replies = change_rows
+        self._source.change_between_replies(changes_between_replies)
         try:
             changes = asyncio.run(self._read_next())
         except exceptions.HistoryLostError:
@@ -221,12 +224,7 @@
 ) -> tuple[listing.ListChanges, dict[str, int]]:
     """Reads the list; returns it with its entries' sequence numbers."""
     source = _Store(table=table)
-
-    def change_rows() -> None:
-        for change in changes.pop(0) if changes else ():
-            table.apply(change)
-
-    source.between_replies = change_rows
+    source.change_between_replies(changes)
     listed = asyncio.run(source.read_upstreams(services=None))
     entries = {
         change.upstream_id: change.entry.sequence for change in listed.changes
