Add types, options and the gate for accounts, limits and cold upstreams

Cause: client accounts, usage limits and cold upstreams need fields that no part reads yet, and checks that must hold when an attempt is sent. Change: the manifest's accounts, public routes, uploads and cold limits and the settings' bounds are decoded; keys are kept as digests only. One gate stands in front of every dispatch; without parts it is open, so all deployments are served as before.

--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -1,10 +1,12 @@
 """Schedules the calls of one service by route, latency target and deadline."""
 
+from collections.abc import Callable
 import functools
 import math
 
 from tanagerspoke.coordination import balancing
 from tanagerspoke.coordination import call_attempts
+from tanagerspoke.coordination import dispatch_gate
 from tanagerspoke.coordination import probe_rounds
 from tanagerspoke.coordination import refusals
 from tanagerspoke.coordination import retries
@@ -77,6 +79,7 @@
         rng: randomness.Random,
         nodes: int = 1,
         node: str = "",
+        gate: dispatch_gate.CombinedGate | None = None,
     ) -> None:
         """Creates a scheduler without upstreams.
 
@@ -89,7 +92,9 @@
             rng: random number generator.
             nodes: live nodes that share the upstreams.
             node: name of this node, which decides which upstreams it prefers.
+            gate: passed by each attempt immediately before it is sent.
         """
+        self._gate = gate or dispatch_gate.CombinedGate(parts=())
         self._node = node
         self._availability_zone = availability_zone
         self._preferred: frozenset[str] = frozenset()
@@ -138,7 +143,9 @@
         """Returns the refusal that the call would get now, or None."""
         if now >= call.deadline:
             return self._refusal(call, errors.ErrorCode.QUEUE_TIMEOUT, now)
-        code = self._refusals.unservable_code(call, now)
+        code = self._gate.check(call, now)
+        if code is None:
+            code = self._refusals.unservable_code(call, now)
         if code is not None:
             return self._refusal(call, code, now)
         limit = max(
@@ -331,13 +338,25 @@
                 if fast_only
                 else None
             ),
-            accept=(
-                functools.partial(probe_rounds.is_fast, now=now)
-                if fast_only
-                else None
-            ),
+            accept=self._acceptance(now, fast_only=fast_only),
         )
 
+    def _acceptance(
+        self, now: float, *, fast_only: bool
+    ) -> Callable[[loads.UpstreamLoad], bool] | None:
+        """Returns the condition that an upstream must meet, or None."""
+        if self._gate.is_open:
+            if not fast_only:
+                return None
+            return functools.partial(probe_rounds.is_fast, now=now)
+
+        def accept(record: loads.UpstreamLoad) -> bool:
+            return (
+                not fast_only or probe_rounds.is_fast(record, now)
+            ) and self._gate.admits(record.upstream, now)
+
+        return accept
+
     def _dispatch(
         self,
         state: call_attempts.CallState,
@@ -365,6 +384,7 @@
             saturated=in_flight / record.slots > _MAX_UNSATURATED_UTILIZATION,
         )
         upstream_id = record.upstream.upstream_id
+        self._gate.record_dispatch(record.upstream, now)
         state.tried += (upstream_id,)
         if call.idempotent and call.hedge and not is_hedge:
             self._schedule_hedge(state, now)
@@ -519,6 +539,11 @@
             state = self._calls[queued_call.call.call_id]
             self._queue.remove(queued_call.call.call_id)
             state.queued = False
+            code = self._gate.check(queued_call.call, now)
+            if code is not None:
+                state.not_run_code = code
+                self._end_unsuccessfully(state, now, actions)
+                continue
             self._dispatch(state, record, now, actions)
         if len(self._queue):
             oldest_queued_at = min(s.queued_at for s in self._queued_states())
@@ -588,6 +613,8 @@
         )
         if state.sent_count >= call.max_attempts or now >= call.deadline:
             return
+        if self._gate.check(call, now) is not None:
+            return
         # A queue means saturation: a hedge would take a queued call's slot.
         if not len(self._queue) and self._send_hedge(state, now, actions):
             return
--- a/tanagerspoke/coordination/target_queue.py
+++ b/tanagerspoke/coordination/target_queue.py
@@ -1,4 +1,7 @@
-"""Queue of calls, ordered by lateness, priority and time of arrival."""
+"""Queue of calls, ordered by lateness, priority and time of arrival.
+
+The priority of the client account precedes that of the route.
+"""
 
 import dataclasses
 
@@ -64,8 +67,10 @@
         return sorted(self._queued.values(), key=lambda c: _sort_key(c, now))
 
 
-def _sort_key(queued_call: QueuedCall, now: float) -> tuple[bool, int, float]:
+def _sort_key(
+    queued_call: QueuedCall, now: float
+) -> tuple[bool, int, int, float]:
     call = queued_call.call
     late = queued_call.latest_start_at < now
     arrival_key = call.arrived_at if late else -call.arrived_at
-    return (late, call.priority, arrival_key)
+    return (late, call.account_priority, call.priority, arrival_key)
--- a/tanagerspoke/platform/boot.py
+++ b/tanagerspoke/platform/boot.py
@@ -14,8 +14,10 @@
 
 # The platform sets this variable to the path of the settings file.
 SETTINGS_VARIABLE = "TANAGERSPOKE_SETTINGS"
+_BYTES_PER_MB = 1_000_000
 
 _Seconds = Annotated[float, pydantic.Field(ge=0)]
+_NonNegative = Annotated[float, pydantic.Field(ge=0)]
 
 
 class _Listen(pydantic.BaseModel):
@@ -40,11 +42,26 @@
     # Probes per worker and second, from all nodes together.
     probes_per_s: Annotated[float, pydantic.Field(ge=0)]
     budget_window_s: Annotated[float, pydantic.Field(gt=0)]
+    # Whether a removed key must be refused within `revoke_s` by all nodes.
+    strict_revoke: bool = False
+    revoke_s: Annotated[float, pydantic.Field(gt=0)] | None = None
+    # Usage limits of client accounts may be exceeded, in any window, by
+    # `quota_overage` as a share and `quota_tolerance` requests.
+    quota_window_s: Annotated[float, pydantic.Field(gt=0)] | None = None
+    quota_overage: _NonNegative = 0.0
+    quota_tolerance: _NonNegative = 0.0
+    # The rate limit of cold workers may be exceeded, in any second, by the
+    # factor `cold_overage` and `cold_tolerance` requests.
+    cold_overage: _NonNegative | None = None
+    cold_tolerance: _NonNegative = 0.0
 
 
 class _Limits(pydantic.BaseModel):
     # Bandwidth of the host's link.
     link_mbps: Annotated[float, pydantic.Field(gt=0)]
+    # Memory and file descriptors of the process, 0 where they are not known.
+    memory_mb: _NonNegative = 0.0
+    max_fds: Annotated[int, pydantic.Field(ge=0)] = 0
 
 
 class _Platform(pydantic.BaseModel):
@@ -132,6 +149,35 @@
             shared_extra=bounds.retry_budget_extra,
             window_s=bounds.budget_window_s,
         ),
+        revocation=_revocation(bounds),
+        usage_limits=_usage_limits(bounds),
+        cold_upstreams=_cold_upstreams(bounds),
+        memory_bytes=int(boot.limits.memory_mb * _BYTES_PER_MB),
+        max_descriptors=boot.limits.max_fds,
+    )
+
+
+def _revocation(bounds: _Bounds) -> edge.Revocation | None:
+    if not bounds.strict_revoke or bounds.revoke_s is None:
+        return None
+    return edge.Revocation(bound_s=bounds.revoke_s)
+
+
+def _usage_limits(bounds: _Bounds) -> edge.UsageLimits | None:
+    if bounds.quota_window_s is None:
+        return None
+    return edge.UsageLimits(
+        window_s=bounds.quota_window_s,
+        overage=bounds.quota_overage,
+        tolerance_calls=bounds.quota_tolerance,
+    )
+
+
+def _cold_upstreams(bounds: _Bounds) -> edge.ColdUpstreams | None:
+    if bounds.cold_overage is None:
+        return None
+    return edge.ColdUpstreams(
+        overage=bounds.cold_overage, tolerance_calls=bounds.cold_tolerance
     )
 
 
--- a/tanagerspoke/platform/headers.py
+++ b/tanagerspoke/platform/headers.py
@@ -26,6 +26,10 @@
 LEAVING = "Server-Leaving"
 
 _WRONG_UPSTREAM_STATUS = 421
+_STATUSES_WITH_RETRY_AFTER = (
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+    http.HTTPStatus.TOO_MANY_REQUESTS,
+)
 # Sent in `Retry-After` when a refusal does not specify a delay.
 _DEFAULT_RETRY_AFTER_S = 0.3
 # A load header has the numbers of running and waiting calls and of slots, and
@@ -249,7 +253,7 @@
             pair for pair in base_headers if pair[0] != "Retry-After"
         ]
         response_headers.append((REQUEST_ID, request_id))
-        if errors.status_of(code) == http.HTTPStatus.SERVICE_UNAVAILABLE:
+        if errors.status_of(code) in _STATUSES_WITH_RETRY_AFTER:
             delay_s = (
                 _DEFAULT_RETRY_AFTER_S
                 if retry_after_s is None
--- a/tanagerspoke/platform/manifest.py
+++ b/tanagerspoke/platform/manifest.py
@@ -1,5 +1,7 @@
 """Conversion of manifests, worker and node entries to the product's types."""
 
+import collections
+import dataclasses
 import ipaddress
 from typing import TypeVar
 
@@ -7,6 +9,7 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.platform import wire
+from tanagerspoke.protocol import key_digests
 from tanagerspoke.protocol import listing
 from tanagerspoke.protocol import ranges
 from tanagerspoke.protocol import routing
@@ -17,7 +20,12 @@
 
 # A request of a route of any other kind may run once at most: a manifest may
 # be newer than this program, and only a duplicate run does lasting harm.
-_IDEMPOTENT_BY_KIND = {"safe": True, "download": True, "unsafe": False}
+_IDEMPOTENT_BY_KIND = {
+    "safe": True,
+    "download": True,
+    "unsafe": False,
+    "upload": False,
+}
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 _MAX_PORT = 65_535
 # Problems of one manifest that are reported, and the length of each. They are
@@ -29,6 +37,7 @@
 _route_decoder = msgspec.json.Decoder(wire.Route)
 _route_host_decoder = msgspec.json.Decoder(wire.RouteHost)
 _route_prefix_decoder = msgspec.json.Decoder(wire.RoutePrefix)
+_tenant_decoder = msgspec.json.Decoder(wire.Tenant)
 _service_decoder = msgspec.json.Decoder(wire.Service)
 _limits_decoder = msgspec.json.Decoder(wire.Limits)
 _node_decoder = msgspec.json.Decoder(wire.NodeEntry)
@@ -117,6 +126,7 @@
         except exceptions.ProtocolError as exc:
             problems.add(routing.ConfigPart.ROUTE, name, exc)
             unusable_routes.append(_unusable_route(name, encoded))
+    accounts = _accounts(decoded.tenants, problems)
     return routing.RoutingTable(
         version=int(decoded.version, 16),
         routes=tuple(routes),
@@ -127,6 +137,63 @@
         limits=_limits(decoded.limits, problems),
         unusable_routes=tuple(unusable_routes),
         problems=problems.found,
+        accounts=accounts,
+    )
+
+
+def _accounts(
+    encoded: dict[str, msgspec.Raw] | None, problems: _Problems
+) -> dict[str, routing.Account] | None:
+    """Returns the usable client accounts, None if the manifest has none.
+
+    A key of two accounts identifies neither, so it is valid for none of them.
+    """
+    if encoded is None:
+        return None
+    accounts: dict[str, routing.Account] = {}
+    for name, value in encoded.items():
+        try:
+            accounts[name] = _account(name, value)
+        except exceptions.ProtocolError as exc:
+            problems.add(routing.ConfigPart.ACCOUNT, name, exc)
+    holders = collections.Counter(
+        key_digest
+        for account in accounts.values()
+        for key_digest in account.key_digests
+    )
+    for name, account in accounts.items():
+        valid = tuple(d for d in account.key_digests if holders[d] == 1)
+        if len(valid) == len(account.key_digests):
+            continue
+        problems.add(
+            routing.ConfigPart.ACCOUNT,
+            name,
+            "a key is also a key of another account; it is valid for none",
+        )
+        accounts[name] = dataclasses.replace(account, key_digests=valid)
+    return accounts
+
+
+def _account(name: str, encoded: msgspec.Raw) -> routing.Account:
+    """Returns a usable client account.
+
+    Raises:
+        ProtocolError: the account is unusable.
+    """
+    try:
+        # It becomes a header value and a log field.
+        msgspec.convert(name, ranges.Name)
+    except msgspec.ValidationError as exc:
+        raise exceptions.ProtocolError(f"invalid name: {exc}") from exc
+    tenant = _decode(_tenant_decoder, encoded)
+    # A key may be listed twice by its own account.
+    digests = dict.fromkeys(key_digests.digest(key) for key in tenant.api_keys)
+    return routing.Account(
+        name=name,
+        key_digests=tuple(digests),
+        priority=tenant.priority,
+        calls_per_s=tenant.rate_per_s or 0.0,
+        burst_calls=tenant.burst or 0.0,
     )
 
 
@@ -138,7 +205,12 @@
     except exceptions.ProtocolError as exc:
         problems.add(routing.ConfigPart.SERVICE, name, exc)
         service = wire.Service()
-    return routing.Service(name=name, health_path=service.health_path)
+    return routing.Service(
+        name=name,
+        health_path=service.health_path,
+        cold_start_s=service.cold_start_s,
+        cold_calls_per_s=service.cold_per_s,
+    )
 
 
 def _limits(
@@ -182,6 +254,7 @@
         max_attempts=route.max_attempts,
         priority=route.priority,
         services=_weighted_services(route),
+        public=route.public,
     )
 
 
--- a/tanagerspoke/platform/wire.py
+++ b/tanagerspoke/platform/wire.py
@@ -43,10 +43,12 @@
 
     Attributes:
         kind: `safe` or `download` (with large responses) if a request may run
-            more than once, `unsafe` if it may not.
+            more than once, `unsafe` or `upload` (with large bodies) if it may
+            not.
         service: the only service; ignored if `traffic_split` is given.
         max_attempts: maximum number of times that a request is sent to a
             worker; attempts of which no byte was sent do not count.
+        public: whether its requests need no key.
     """
 
     host: ranges.HostName
@@ -60,12 +62,39 @@
     traffic_split: Annotated[
         tuple[TrafficShare, ...], msgspec.Meta(max_length=1000)
     ] = ()
+    public: bool = False
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
-    """Service in a manifest."""
+    """Service in a manifest.
+
+    Attributes:
+        cold_start_s: time for which a worker is cold after its start.
+        cold_per_s: requests per second that a cold worker tolerates; 0 where
+            there is no limit.
+    """
 
     health_path: ranges.Path = "/health"
+    cold_start_s: ranges.OptionalSeconds = 0.0
+    cold_per_s: ranges.CallRate = 0.0
+
+
+class Tenant(msgspec.Struct, frozen=True, kw_only=True):
+    """Client account in a manifest.
+
+    Attributes:
+        priority: rank of its requests, which precedes that of the route.
+        rate_per_s: usage limit over all nodes; 0 where there is none.
+        burst: requests beyond the rate that may come at once.
+    """
+
+    api_keys: Annotated[
+        tuple[Annotated[str, msgspec.Meta(max_length=512)], ...],
+        msgspec.Meta(max_length=10_000),
+    ] = ()
+    priority: ranges.Priority | None = None
+    rate_per_s: ranges.CallRate | None = None
+    burst: ranges.CallRate | None = None
 
 
 class Limits(msgspec.Struct, frozen=True, kw_only=True):
@@ -88,12 +117,14 @@
         routes: encoded routes by name.
         services: encoded services by name.
         limits: encoded limits.
+        tenants: encoded client accounts by name, None if there are none.
     """
 
     version: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F]{8}$")]
     routes: dict[str, msgspec.Raw]
     services: dict[str, msgspec.Raw]
     limits: msgspec.Raw = msgspec.Raw(b"null")
+    tenants: dict[str, msgspec.Raw] | None = None
 
 
 class WorkerEntry(msgspec.Struct, frozen=True, kw_only=True):
--- a/tanagerspoke/protocol/calls.py
+++ b/tanagerspoke/protocol/calls.py
@@ -37,6 +37,10 @@
         priority: rank of the call; 0 is served first.
         stops_at: time by which this process must have the response, since it
             is stopping; None if it is not.
+        account_priority: rank of the client account, which precedes
+            `priority`.
+        key_digest: digest of the API key that the call was sent with, None if
+            it needs none.
     """
 
     call_id: int
@@ -52,6 +56,8 @@
     max_attempts: int = 3
     priority: int = 0
     stops_at: float | None = None
+    account_priority: int = 0
+    key_digest: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tanagerspoke/protocol/errors.py
+++ b/tanagerspoke/protocol/errors.py
@@ -27,6 +27,8 @@
     KEY_REQUIRED = "key_required"
     DEPTH_EXCEEDED = "depth_exceeded"
     UNAUTHORIZED = "unauthorized"
+    API_KEY_REJECTED = "api_key_rejected"
+    CONFIG_UNCONFIRMED = "config_unconfirmed"
     UNKNOWN_CLIENT_ACCOUNT = "unknown_client_account"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_ROUTE = "unknown_route"
@@ -35,7 +37,10 @@
     BODY_TOO_LARGE = "body_too_large"
     KEY_REUSED = "key_reused"
     RATE_LIMITED = "rate_limited"
+    USAGE_UNCONFIRMED = "usage_unconfirmed"
     CONCURRENCY_LIMITED = "concurrency_limited"
+    MEMORY_EXHAUSTED = "memory_exhausted"
+    BODY_TIMEOUT = "body_timeout"
     EXPECTATION_FAILED = "expectation_failed"
     HEADER_TOO_LARGE = "header_too_large"
     HEADER_TIMEOUT = "header_timeout"
@@ -57,6 +62,8 @@
 
 _HTTP_STATUSES = {
     ErrorCode.UNAUTHORIZED: http.HTTPStatus.UNAUTHORIZED,
+    ErrorCode.API_KEY_REJECTED: http.HTTPStatus.UNAUTHORIZED,
+    ErrorCode.CONFIG_UNCONFIRMED: http.HTTPStatus.SERVICE_UNAVAILABLE,
     ErrorCode.UNKNOWN_CLIENT_ACCOUNT: http.HTTPStatus.NOT_FOUND,
     ErrorCode.UNKNOWN_SERVICE: http.HTTPStatus.NOT_FOUND,
     ErrorCode.UNKNOWN_ROUTE: http.HTTPStatus.NOT_FOUND,
@@ -65,7 +72,10 @@
     ErrorCode.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     ErrorCode.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
     ErrorCode.RATE_LIMITED: http.HTTPStatus.TOO_MANY_REQUESTS,
+    ErrorCode.USAGE_UNCONFIRMED: http.HTTPStatus.SERVICE_UNAVAILABLE,
     ErrorCode.CONCURRENCY_LIMITED: http.HTTPStatus.TOO_MANY_REQUESTS,
+    ErrorCode.MEMORY_EXHAUSTED: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    ErrorCode.BODY_TIMEOUT: http.HTTPStatus.REQUEST_TIMEOUT,
     ErrorCode.EXPECTATION_FAILED: http.HTTPStatus.EXPECTATION_FAILED,
     ErrorCode.HEADER_TOO_LARGE: (
         http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
--- a/tanagerspoke/protocol/ranges.py
+++ b/tanagerspoke/protocol/ranges.py
@@ -17,6 +17,10 @@
     str, msgspec.Meta(pattern=r"^/([!-~]*/)?$", max_length=2048)
 ]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
+OptionalSeconds = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
+CallRate = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+# Hexadecimal digest of an API key; see `protocol/key_digests.py`.
+KeyDigest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{32}$")]
 Weight = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 Attempts = Annotated[int, msgspec.Meta(ge=1, le=1000)]
 Priority = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
--- a/tanagerspoke/protocol/routing.py
+++ b/tanagerspoke/protocol/routing.py
@@ -29,6 +29,8 @@
             upstream; attempts of which no byte was sent do not count.
         priority: rank of the route; 0 is served first.
         services: services among which the calls are divided by weight.
+        public: whether its calls need no key, also if the deployment has
+            client accounts.
     """
 
     name: str
@@ -40,6 +42,7 @@
     max_attempts: ranges.Attempts
     priority: ranges.Priority
     services: tuple[WeightedService, ...]
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,6 +67,7 @@
     ROUTE = "route"
     SERVICE = "service"
     LIMITS = "limits"
+    ACCOUNT = "account"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -71,7 +75,8 @@
     """A part of a routing table that is not in force as it was written.
 
     Attributes:
-        name: name of the route or service; empty for the limits.
+        name: name of the route, service or client account; empty for the
+            limits.
         problem: what is wrong with it.
     """
 
@@ -86,10 +91,35 @@
 
     Attributes:
         health_path: path on which its upstreams respond to probes.
+        cold_start_s: time for which an upstream is cold after its start.
+        cold_calls_per_s: calls per second that a cold upstream tolerates from
+            all nodes together; 0 where there is no limit.
     """
 
     name: str
     health_path: ranges.Path
+    cold_start_s: ranges.OptionalSeconds = 0.0
+    cold_calls_per_s: ranges.CallRate = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Account:
+    """A client account of the deployment.
+
+    Attributes:
+        key_digests: digests of its API keys; the keys themselves are never
+            kept or sent to another node.
+        priority: rank of its calls, which precedes that of the route; None
+            where the route's rank alone applies.
+        calls_per_s: usage limit over all nodes; 0 where there is none.
+        burst_calls: calls beyond the rate that may come at once.
+    """
+
+    name: ranges.Name
+    key_digests: tuple[ranges.KeyDigest, ...] = ()
+    priority: ranges.Priority | None = None
+    calls_per_s: ranges.CallRate = 0.0
+    burst_calls: ranges.CallRate = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -117,6 +147,8 @@
             version stay in force.
         unusable_routes: routes whose calls are refused.
         problems: parts that are not in force as written, bounded in number.
+        accounts: client accounts by name, None if the deployment has none, so
+            that calls need no key.
     """
 
     version: int
@@ -125,6 +157,7 @@
     limits: CallerLimits | None
     unusable_routes: tuple[UnusableRoute, ...] = ()
     problems: tuple[ConfigProblem, ...] = ()
+    accounts: Mapping[str, Account] | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tanagerspoke/settings/edge.py
+++ b/tanagerspoke/settings/edge.py
@@ -27,6 +27,47 @@
     window_s: options.PositiveSeconds
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class Revocation:
+    """How soon a key that was removed from the configuration is refused.
+
+    Attributes:
+        bound_s: time from the confirmation of the configuration after which
+            no call runs on the key, at any node, also at one that cannot
+            reach the store.
+    """
+
+    bound_s: options.PositiveSeconds
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class UsageLimits:
+    """Tolerance of the usage limits of client accounts.
+
+    In any window, the calls of an account that run on all nodes together may
+    exceed its limit by `overage`, as a share, and `tolerance_calls`.
+
+    Attributes:
+        window_s: length of the sliding window.
+    """
+
+    window_s: options.PositiveSeconds
+    overage: _NonNegative
+    tolerance_calls: _NonNegative
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
+class ColdUpstreams:
+    """Tolerance of the rate limit of cold upstreams.
+
+    In one second, a cold upstream may get its service's rate times `overage`
+    plus `tolerance_calls` calls from all nodes together.
+    """
+
+    overage: _NonNegative
+    tolerance_calls: _NonNegative
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
 class Edge:
     """Options of one edge process, decoded from the platform's settings.
@@ -48,6 +89,12 @@
             unavailable; some of them may be down or no longer exist.
         hold_answer_bytes: maximum size of a response that is buffered in
             full before it is sent to the caller; larger ones are streamed.
+        revocation: None where keys have no strict revocation.
+        usage_limits: None where client accounts have no usage limits.
+        cold_upstreams: None where cold upstreams have no rate limit.
+        memory_bytes: memory of the process, 0 where it is not known.
+        max_descriptors: file descriptors of the process, 0 where the number
+            is not known.
     """
 
     node: str
@@ -67,3 +114,8 @@
     known_peers: tuple[options.Endpoint, ...] = ()
     hold_answer_bytes: Annotated[int, pydantic.Field(ge=1024)] = 262_144
     log_level: options.LogLevel = "INFO"
+    revocation: Revocation | None = None
+    usage_limits: UsageLimits | None = None
+    cold_upstreams: ColdUpstreams | None = None
+    memory_bytes: Annotated[int, pydantic.Field(ge=0)] = 0
+    max_descriptors: Annotated[int, pydantic.Field(ge=0)] = 0
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -75,3 +75,49 @@
     path.write_text(COMPLETE_FILE.replace("127.0.0.1:8541", "8541"))
     with pytest.raises(exceptions.SettingsError, match="platform.address"):
         boot.load(path)
+
+
+def test_limits_are_off_unless_configured(tmp_path: pathlib.Path) -> None:
+    """Guards against limits in deployments that do not ask for them."""
+    path = tmp_path / "boot.toml"
+    path.write_text(COMPLETE_FILE)
+    cfg = boot.load(path)
+    assert cfg.revocation is None
+    assert cfg.usage_limits is None
+    assert cfg.cold_upstreams is None
+    assert cfg.memory_bytes == 0
+    assert cfg.max_descriptors == 0
+
+
+def test_configured_limits(tmp_path: pathlib.Path) -> None:
+    """Guards against limits that are read from the wrong field."""
+    path = tmp_path / "boot.toml"
+    path.write_text(
+        COMPLETE_FILE.replace(
+            "[platform]",
+            "strict_revoke = true\nrevoke_s = 5\n"
+            "quota_window_s = 4\nquota_overage = 0.1\nquota_tolerance = 20\n"
+            "cold_overage = 1.5\ncold_tolerance = 8\n[platform]",
+        ).replace(
+            "link_mbps = 2500.0",
+            "link_mbps = 2500.0\nmemory_mb = 152\nmax_fds = 1535",
+        )
+    )
+    cfg = boot.load(path)
+    assert cfg.revocation.bound_s == 5
+    assert cfg.usage_limits.window_s == 4
+    assert cfg.usage_limits.overage == 0.1
+    assert cfg.usage_limits.tolerance_calls == 20
+    assert cfg.cold_upstreams.overage == 1.5
+    assert cfg.cold_upstreams.tolerance_calls == 8
+    assert cfg.memory_bytes == 152_000_000
+    assert cfg.max_descriptors == 1535
+
+
+def test_revocation_without_strictness(tmp_path: pathlib.Path) -> None:
+    """Guards against refusals where revocation is not strict."""
+    path = tmp_path / "boot.toml"
+    path.write_text(
+        COMPLETE_FILE.replace("[platform]", "revoke_s = 5\n[platform]")
+    )
+    assert boot.load(path).revocation is None
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -11,6 +11,7 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.platform import manifest
+from tanagerspoke.protocol import key_digests
 from tanagerspoke.protocol import listing
 from tanagerspoke.protocol import routing
 from tanagerspoke.protocol import zone_feed
@@ -392,3 +393,85 @@
         manifest.decode_worker(
             worker_id="i-1", value=b"\xff\x00{", services=None
         )
+
+
+_TENANTS: dict[str, Any] = {
+    "shop-1": {
+        "api_keys": ["key-1", "key-2"],
+        "priority": 0,
+        "rate_per_s": 107,
+        "burst": 50,
+    },
+    "shop-2": {"api_keys": []},
+}
+
+
+def _decode_accounts(**tenants: Any) -> routing.RoutingTable:
+    return manifest.decode_manifest(_encode(MANIFEST | {"tenants": tenants}))
+
+
+def test_manifest_without_tenants_has_no_accounts() -> None:
+    """Guards against keys being required where there are no accounts."""
+    assert manifest.decode_manifest(_encode(MANIFEST)).accounts is None
+
+
+def test_accounts() -> None:
+    """Guards against tenants that are translated incorrectly."""
+    table = _decode_accounts(**_TENANTS)
+    assert table.problems == ()
+    shop = table.accounts["shop-1"]
+    assert shop.key_digests == (
+        key_digests.digest("key-1"),
+        key_digests.digest("key-2"),
+    )
+    assert (shop.priority, shop.calls_per_s, shop.burst_calls) == (0, 107, 50)
+    without_keys = table.accounts["shop-2"]
+    assert without_keys.key_digests == ()
+    assert (without_keys.priority, without_keys.calls_per_s) == (None, 0)
+
+
+def test_keys_do_not_leave_the_decoder() -> None:
+    """Guards against keys in messages between nodes."""
+    table = _decode_accounts(**_TENANTS)
+    frame = zone_feed_codec.encode_update(zone_feed.RoutingUpdate(table=table))
+    assert b"key-1" not in zlib.decompress(frame)
+    decoded = zone_feed_codec.decode_update(frame)
+    assert decoded.table.accounts == table.accounts
+
+
+def test_key_of_two_accounts_is_valid_for_none() -> None:
+    """Guards against a call that runs for the wrong account."""
+    table = _decode_accounts(
+        one={"api_keys": ["same", "own"]}, two={"api_keys": ["same"]}
+    )
+    assert table.accounts["one"].key_digests == (key_digests.digest("own"),)
+    assert table.accounts["two"].key_digests == ()
+    assert {p.name for p in table.problems} == {"one", "two"}
+
+
+def test_unusable_account_leaves_the_others_in_force() -> None:
+    """Guards against one bad account that takes all others down."""
+    table = _decode_accounts(
+        **_TENANTS, bad={"rate_per_s": -1}, **{"no name": {}}
+    )
+    assert table.accounts.keys() == _TENANTS.keys()
+    assert {p.part for p in table.problems} == {routing.ConfigPart.ACCOUNT}
+    assert {p.name for p in table.problems} == {"bad", "no name"}
+
+
+def test_cold_limits_of_a_service() -> None:
+    """Guards against limits of cold upstreams that are not read."""
+    service = {"health_path": "/h", "cold_start_s": 3.0, "cold_per_s": 6.5}
+    table = manifest.decode_manifest(
+        _encode(MANIFEST | {"services": {"one": service, "two": {}}})
+    )
+    assert table.services["one"].cold_calls_per_s == 6.5
+    assert table.services["one"].cold_start_s == 3.0
+    assert table.services["two"].cold_calls_per_s == 0.0
+
+
+def test_upload_runs_at_most_once() -> None:
+    """Guards against uploads that are sent twice or reported as unknown."""
+    table = _decode_with_route(kind="upload")
+    assert table.problems == ()
+    assert not table.routes[0].idempotent
