Let nodes of large fleets probe, and use estimates where they can't

Cause: a node may send (rate x upstreams / nodes) probes a second. Other services had the rate on average, but not when calls came together. Change: unused probes are saved for 5 s, up to 32; where no probe is possible before the call is late and the service has room, the estimate decides; late calls may use upstreams up to the saturation limit while the service has room.

--- a/tanagerspoke/coordination/probe_rounds.py
+++ b/tanagerspoke/coordination/probe_rounds.py
@@ -25,6 +25,10 @@
 # reports load. Its health path may be served from the same slots as calls, so
 # that further probes would only use up slots.
 _MAX_RESPONSES_WITHOUT_REPORT = 3
+# In a large fleet, a node has few calls and may send few probes a second. It
+# saves unused ones for the calls that come together, up to four large rounds.
+_MAX_SAVED_S = 5.0
+_MAX_SAVED_PROBES = 32.0
 
 
 class ProbeRounds:
@@ -48,6 +52,7 @@
         self._any_report = False
         self._reported_at = float("-inf")
         self._tokens = 0.0
+        self._rate_per_s = 0.0
         self._refilled_at: float | None = None
 
     @property
@@ -62,6 +67,18 @@
         """Returns whether an upstream reported its load recently."""
         return now - self._reported_at < _RECENT_REPORT_S
 
+    def is_exhausted(self, *, now: float, until: float) -> bool:
+        """Returns whether no round is under way or can start before `until`.
+
+        Args:
+            now: monotonic seconds.
+            until: monotonic seconds.
+        """
+        if self._refilled_at is None or self._is_in_round(now):
+            return False
+        refill = (until - self._refilled_at) * self._rate_per_s
+        return self._tokens + refill < 1.0
+
     def record_report(self, now: float) -> None:
         """Records that an upstream reported its load."""
         self._any_report = True
@@ -103,9 +120,7 @@
             nodes: number of nodes that share the upstreams.
             now: monotonic seconds.
         """
-        round_started_at = max(self._pending.values(), default=float("-inf"))
-        in_round = now - round_started_at < ROUND_DURATION_S
-        if not self.reports_load or in_round or not records:
+        if not self.reports_load or self._is_in_round(now) or not records:
             return []
         self._refill(len(records), nodes, now)
         stale = [
@@ -123,16 +138,26 @@
         self._pending.update((r.upstream.upstream_id, now) for r in chosen)
         return chosen
 
+    def _is_in_round(self, now: float) -> bool:
+        round_started_at = max(self._pending.values(), default=float("-inf"))
+        return now - round_started_at < ROUND_DURATION_S
+
     def _is_same_zone(self, upstream: upstreams.Upstream) -> bool:
         return upstream.availability_zone == self._zone
 
     def _refill(self, upstream_count: int, nodes: int, now: float) -> None:
         rate_per_s = self._rate_per_upstream_s * upstream_count / nodes
+        capacity = max(
+            rate_per_s,
+            min(_MAX_SAVED_PROBES, _MAX_SAVED_S * rate_per_s),
+            _MIN_ROUND_SIZE,
+        )
         if self._refilled_at is None:
-            self._tokens = rate_per_s
+            self._tokens = capacity
         else:
             refill = (now - self._refilled_at) * rate_per_s
-            self._tokens = min(rate_per_s, self._tokens + refill)
+            self._tokens = min(capacity, self._tokens + refill)
+        self._rate_per_s = rate_per_s
         self._refilled_at = now
 
 
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -40,6 +40,10 @@
 # upstream counts as nearly idle: one slot of three or four. Late calls wait for
 # such an upstream.
 _LATE_CALL_MAX_UTILIZATION = 0.4
+# Mean utilization of a service's upstreams below which it has room, unless more
+# calls of this node wait than it has slots: at twice the load, all slots would
+# be in use.
+_MAX_MEAN_UTILIZATION = 0.5
 # A call that can no longer meet its target stays queued for at most this share
 # of its target latency; it is then refused with a delay before a retry.
 _MAX_LATE_WAIT_SHARE = 0.5
@@ -261,27 +265,48 @@
     ) -> loads.UpstreamLoad | None:
         """Returns the upstream that a queued call starts on now, or None.
 
-        Calls wait for a fast host. Late calls only use nearly idle upstreams,
-        which leaves slots to the calls of all nodes that can meet their target.
+        Calls wait for a fast host. While the service is busy, late calls only
+        use nearly idle upstreams, which leaves slots to the calls of all nodes
+        that can meet their target.
         """
         state = self._calls[queued_call.call.call_id]
         if not self._probes.reports_load:
             return self._choose_upstream(state, now, use_fair_share=True)
         late = now > queued_call.latest_start_at
+        has_room = self._has_room()
+        max_utilization = (
+            _MAX_UNSATURATED_UTILIZATION
+            if has_room
+            else _LATE_CALL_MAX_UTILIZATION
+        )
         fast = self._choose_upstream(
             state,
             now,
             fast_only=True,
-            max_utilization=_LATE_CALL_MAX_UTILIZATION if late else None,
+            max_utilization=max_utilization if late else None,
+        )
+        if fast is not None:
+            return fast
+        # Without a probe the call would wait for nothing: no report could show
+        # it a fast host before it is late.
+        no_probe_in_time = has_room and self._probes.is_exhausted(
+            now=now, until=queued_call.latest_start_at
         )
-        if fast is not None or now < self._fast_host_wait_end(
+        if not no_probe_in_time and now < self._fast_host_wait_end(
             state, queued_call, now
         ):
-            return fast
+            return None
         return self._choose_upstream(
-            state, now, max_utilization=_LATE_CALL_MAX_UTILIZATION
+            state, now, max_utilization=max_utilization
         )
 
+    def _has_room(self) -> bool:
+        """Returns whether late calls take no slot that others need."""
+        own_slots = self._view.total_slots / self._nodes
+        return self._view.mean_utilization < _MAX_MEAN_UTILIZATION and len(
+            self._queue
+        ) <= max(1.0, own_slots)
+
     def _fast_host_wait_end(
         self,
         state: call_attempts.CallState,
--- a/tanagerspoke/state/loads.py
+++ b/tanagerspoke/state/loads.py
@@ -26,6 +26,8 @@
 _RAMP_START_SHARE = 0.1
 # Weight of one report in the mean over the upstreams of the service.
 _MEAN_REMOTE_WEIGHT = 0.05
+# Weight of one report in the mean utilization, which must follow a burst.
+_MEAN_UTILIZATION_WEIGHT = 0.1
 # Weight of one report in the estimate of the trust in reports.
 _TRUST_WEIGHT = 0.01
 # The trust depends on the slope of a regression of reported on local calls, see
@@ -235,6 +237,8 @@
         eligible: upstreams that may get new calls, unless they are ejected.
         mean_remote_in_flight: moving average of `remote_in_flight` over the
             reports of all upstreams.
+        mean_utilization: moving average of the calls in flight per slot over
+            the reports of all upstreams.
         total_slots: slots of the eligible upstreams.
         report_trust: weight of a new report relative to the mean, 0 to 1.
     """
@@ -254,6 +258,7 @@
         self._records: dict[str, UpstreamLoad] = {}
         self.eligible: list[UpstreamLoad] = []
         self.mean_remote_in_flight = 0.0
+        self.mean_utilization = 0.0
         self.total_slots = 0
         self._last_pause_ends_at = float("-inf")
         # Reports in the order in which they arrived, with their times.
@@ -391,6 +396,9 @@
         self.mean_remote_in_flight += _MEAN_REMOTE_WEIGHT * (
             record.remote_in_flight - self.mean_remote_in_flight
         )
+        self.mean_utilization += _MEAN_UTILIZATION_WEIGHT * (
+            load.in_flight / record.slots - self.mean_utilization
+        )
 
     def recently_reported(
         self, *, now: float, max_age_s: float
--- a/tests/coordination/test_load_patterns.py
+++ b/tests/coordination/test_load_patterns.py
@@ -40,7 +40,11 @@
         upstreams: int = 9,
         seed: int = 1,
         load_report_age_s: float = 0.0,
+        nodes: int = _NODES,
+        probes_per_upstream_s: float = 30.0,
     ) -> None:
+        self._node_count = nodes
+        self._probes_per_upstream_s = probes_per_upstream_s
         self.clock = simulation.Clock()
         self.ejections: list[tuple[float, str]] = []
         self.sent: dict[str, list[float]] = collections.defaultdict(list)
@@ -69,7 +73,7 @@
                     call.call_id
                 ],
             )
-            for number in range(_NODES)
+            for number in range(nodes)
         ]
         for node in self.nodes:
             node.handle(calls.UpstreamsChanged(upstreams=listed))
@@ -98,13 +102,14 @@
                 shared_extra=40.0,
                 window_s=10.0,
                 shared_extra_from=0.0,
-                nodes=_NODES,
+                nodes=self._node_count,
             ),
             probes=probe_rounds.ProbeRounds(
-                availability_zone="abc"[number % 3], rate_per_upstream_s=30.0
+                availability_zone="abc"[number % 3],
+                rate_per_upstream_s=self._probes_per_upstream_s,
             ),
             rng=random.Random(number),
-            nodes=_NODES,
+            nodes=self._node_count,
         )
 
     def offer(
@@ -118,7 +123,7 @@
         route: str = "read",
         idempotent: bool = True,
         priority: int = 1,
-        node_weights: tuple[float, ...] = (1.0,) * _NODES,
+        node_weights: tuple[float, ...] | None = None,
     ) -> None:
         """Schedules calls of a route at random times."""
         at = from_s
@@ -223,6 +228,35 @@
     assert _in_time_share(records) > 0.95
 
 
+def test_many_nodes_that_share_few_upstreams() -> None:
+    """Guards against calls that wait although most slots are free.
+
+    Pattern: 120 nodes share 4 upstreams, so each node may send less than one
+    probe a second and gets a call every few seconds. A third of the hosts is
+    slow. Calls waited for probes that were never sent, and were refused.
+    """
+    fleet = _Fleet(upstreams=4, nodes=120, probes_per_upstream_s=21.0)
+    fleet.fakes[0].slowness = 5.0
+    fleet.offer(rate_per_s=_rate(0.4, upstreams=4), until_s=20.0)
+    records = fleet.run()
+    assert _in_time_share(records) > 0.9
+
+
+def test_probes_that_are_used_up_while_there_is_room() -> None:
+    """Guards against calls that wait for a report that cannot come in time.
+
+    Pattern: 60 nodes share 4 upstreams, and the probe rate allows one probe
+    per node in 7 seconds. Writes come at an eighth of the capacity.
+    """
+    fleet = _Fleet(upstreams=4, nodes=60, probes_per_upstream_s=2.0)
+    fleet.offer(
+        rate_per_s=_rate(0.12, upstreams=4), until_s=40.0, idempotent=False
+    )
+    records = fleet.run()
+    assert [r for r in records if r.outcome != "useful"] == []
+    assert _in_time_share(records) > 0.95
+
+
 def test_silent_preferred_upstreams() -> None:
     """Guards against calls that wait for the same silent upstreams each time.
 
