--- a/tanagerspoke/transport/operations/edge_metrics.py
+++ b/tanagerspoke/transport/operations/edge_metrics.py
@@ -285,7 +285,14 @@
             if record.upstream_duration_s is not None and code == "ok":
                 added_s = max(0.0, duration_s - record.upstream_duration_s)
                 self._added_latency.labels(route_name).observe(added_s)
-        failed = code != "ok" or record.status >= 400
+        # Otherwise a caller without a key could use up the lines of others.
+        is_unknown_caller = (
+            code == errors.ErrorCode.API_KEY_REJECTED
+            and not record.client_account
+        )
+        failed = (
+            code != "ok" or record.status >= 400
+        ) and not is_unknown_caller
         if not (failed or is_late or random.random() < _CALL_LOG_SAMPLE_RATIO):
             return
         if self._call_log_limit.try_acquire(route_name):
--- a/tests/transport/edge_stack.py
+++ b/tests/transport/edge_stack.py
@@ -67,6 +67,7 @@
         ran: ids of the requests that it ran, in order.
         cancelled: ids of the held requests that were cancelled.
         deadlines: values of X-Deadline-Ms of the requests that it ran.
+        received_headers: names and values of the requests that it ran.
         behavior: `ok`, `shed` (refuses), `reset` (resets the connection),
             `unsigned` (sends no signature) or `hold` (waits for `release`).
         refused: ids of the requests that it refused.
@@ -81,6 +82,7 @@
         self.ran: list[str] = []
         self.cancelled: list[str] = []
         self.deadlines: list[int] = []
+        self.received_headers: list[list[tuple[str, str]]] = []
         self.behavior = "ok"
         self.extra_headers: dict[str, str] = {}
         self.work_s = 0.0
@@ -140,6 +142,7 @@
             return web.Response(status=503, headers=headers)
         self.ran.append(request_id)
         self.deadlines.append(int(req.headers["X-Deadline-Ms"]))
+        self.received_headers.append(list(req.headers.items()))
         if self.behavior == "reset":
             req.transport.abort()
         if self.work_s:
@@ -178,13 +181,15 @@
         *,
         node: int = 0,
         request_id: str = "q1",
+        added_headers: tuple[tuple[str, str], ...] = (),
         **request_options: Any,
     ) -> Any:
-        headers = {
-            "Host": HOST,
-            "X-Attempt-Id": request_id,
-            "X-Deadline-Ms": "15000",
-        }
+        headers = [
+            ("Host", HOST),
+            ("X-Attempt-Id", request_id),
+            ("X-Deadline-Ms", "15000"),
+            *added_headers,
+        ]
         return self.session.request(
             method,
             self.url(path, node=node),
@@ -195,7 +200,7 @@
     @contextlib.asynccontextmanager
     async def add_node(self, **changes: Any) -> AsyncIterator["EdgeStack"]:
         """Yields a stack whose only node is an additional one."""
-        cfg = _cfg(self.store, self.store_endpoint, len(self.cfgs), **changes)
+        cfg = _cfg(self.store_endpoint, len(self.cfgs), **changes)
         service = edge_service.EdgeService(
             cfg=cfg, adapter=adapter.make(cfg), load_settings=lambda: cfg
         )
@@ -216,12 +221,10 @@
 
 
 def _cfg(
-    store: metadata_store.MetadataStoreStandin,
     store_endpoint: options.Endpoint,
     node_number: int,
     **changes: Any,
 ) -> edge.Edge:
-    del store
     fields = dict(
         node=f"n{node_number}",
         availability_zone="a",
@@ -251,10 +254,13 @@
     configured: bool = True,
     zones: str = "a",
     store_page_rows: int = metadata_store.DEFAULT_PAGE_ROWS,
+    config: bytes = b"",
+    **changes: Any,
 ) -> AsyncIterator[EdgeStack]:
     """Yields a running stack and closes it at the end.
 
-    The nodes are distributed over the zones in turn.
+    The nodes are distributed over the zones in turn. `changes` replaces options
+    of all nodes, `config` the manifest.
     """
     async with contextlib.AsyncExitStack() as exit_stack:
         store_endpoint = _endpoint()
@@ -269,7 +275,7 @@
             exit_stack.push_async_callback(worker.close)
             await store.put("servers", worker.name, worker.entry())
         if configured:
-            await store.put("op", "config", manifest(1))
+            await store.put("op", "config", config or manifest(1))
         session = await exit_stack.enter_async_context(
             aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(force_close=True),
@@ -278,10 +284,10 @@
         )
         cfgs = tuple(
             _cfg(
-                store,
                 store_endpoint,
                 n,
                 availability_zone=zones[n % len(zones)],
+                **changes,
             )
             for n in range(nodes)
         )
