--- a/tests/transport/edge_stack.py
+++ b/tests/transport/edge_stack.py
@@ -200,7 +200,7 @@
     @contextlib.asynccontextmanager
     async def add_node(self, **changes: Any) -> AsyncIterator["EdgeStack"]:
         """Yields a stack whose only node is an additional one."""
-        cfg = _cfg(self.store_endpoint, len(self.cfgs), **changes)
+        cfg = make_cfg(self.store_endpoint, len(self.cfgs), **changes)
         service = edge_service.EdgeService(
             cfg=cfg, adapter=adapter.make(cfg), load_settings=lambda: cfg
         )
@@ -220,7 +220,7 @@
         await wait_for(lambda: self.is_ready(node))
 
 
-def _cfg(
+def make_cfg(
     store_endpoint: options.Endpoint,
     node_number: int,
     **changes: Any,
@@ -283,7 +283,7 @@
             )
         )
         cfgs = tuple(
-            _cfg(
+            make_cfg(
                 store_endpoint,
                 n,
                 availability_zone=zones[n % len(zones)],
--- a/tests/transport/upstreams/test_upstream_client.py
+++ b/tests/transport/upstreams/test_upstream_client.py
@@ -344,3 +344,35 @@
     ]
     assert (record.request_id, record.upstream) == ("r1", "u1")
     assert "many" in record.error
+
+
+@pytest.mark.parametrize("may_send", [True, False])
+async def test_permission_is_asked_when_the_connection_is_open(
+    may_send: bool,
+) -> None:
+    """Guards against a request on a key that was removed during a connect.
+
+    Opening a connection may take long, or the process may be frozen then.
+    """
+    harness = Harness()
+    asked_at: list[int] = []
+
+    def ask() -> bool:
+        asked_at.append(harness.connections)
+        return may_send
+
+    requests: list[str] = []
+
+    async def serve(reader, writer, number) -> None:
+        del number
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            requests.append(await read_id(reader))
+            writer.write(make_response(requests[-1]))
+
+    async with harness.serving(serve):
+        ended = await harness.run(may_send=ask)
+    assert len(asked_at) == 1
+    assert bool(requests) == may_send
+    assert isinstance(
+        ended.result, calls.Answered if may_send else calls.NotSent
+    )
