Test the gate of a running edge and the first queries of a restart

Cause: trials with one part removed showed that no test failed when the gate was not passed to the schedulers, or when known peers were not asked first. Ruled out: a time limit below the retry interval; a busy machine exceeds it. Change: one test of a call that waits while its key is removed, and one of the first round of queries with 30 of 31 known peers down. Figures: with the gate, or the known peers, removed, the new test fails.

--- a/tests/transport/test_accounts.py
+++ b/tests/transport/test_accounts.py
@@ -195,6 +195,40 @@
         writer.close()
 
 
+async def test_queued_call_is_refused_when_its_key_is_removed() -> None:
+    """Guards against an edge whose schedulers do not ask the gate."""
+    config = _manifest(1, _KEY, "other")
+    async with edge_stack.run(config=config, workers=1) as cluster:
+        await cluster.wait_ready()
+        (worker,) = cluster.workers
+        worker.behavior = "hold"
+        held = [
+            asyncio.create_task(
+                _status(
+                    cluster, "/write/x", keys=("other",), request_id=f"h{n}"
+                )
+            )
+            for n in range(3)
+        ]
+
+        async def is_full() -> bool:
+            return len(worker.ran) == 3
+
+        await edge_stack.wait_for(is_full)
+        queued = asyncio.create_task(_status(cluster, "/write/x"))
+        await asyncio.sleep(0.1)
+        await cluster.store.put("op", "config", _manifest(2, "other"))
+        await _wait_for_status(cluster, 401)
+        assert not queued.done()
+        worker.release.set()
+        assert await queued == 401
+        assert await asyncio.gather(*held) == [200] * 3
+        assert len(worker.ran) == 3
+        assert 'rejected_keys_total{reason="removed"} 1.0' in await _metrics(
+            cluster
+        )
+
+
 async def test_frozen_process_refuses_until_its_first_new_proof(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/transport/test_freshness.py
+++ b/tests/transport/test_freshness.py
@@ -9,6 +9,7 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.coordination import upstream_listing
+from tanagerspoke.coordination.accounts import proof_queries
 from tanagerspoke.protocol import freshness
 from tanagerspoke.protocol import listing
 from tanagerspoke.protocol import routing
@@ -205,7 +206,7 @@
 
 @contextlib.asynccontextmanager
 async def _querying(
-    followed: zone_feed.Node, *others: zone_feed.Node, **changes: object
+    followed: zone_feed.Node | None, *others: zone_feed.Node, **changes: object
 ) -> AsyncIterator[config_proofs.ConfigProofs]:
     proofs = config_proofs.ConfigProofs(bound_s=_BOUND_S, clock=time.monotonic)
     proofs.freshness.set_version(3)
@@ -218,7 +219,7 @@
         proofs=proofs,
         has_accounts=lambda: True,
         followed_node=lambda: followed,
-        nodes=lambda: (followed, *others),
+        nodes=lambda: others,
         fetch_newer=fetch_newer,
     )
     await service.start()
@@ -287,6 +288,25 @@
         assert other_queries
 
 
+async def test_starting_node_asks_all_its_known_peers_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a restart that waits while most known peers are down.
+
+    A second round of queries does not take place within the time limit.
+    """
+    monkeypatch.setattr(proof_queries, "_RETRY_INTERVAL_S", 2 * stack.WAIT_S)
+    reply = freshness.FreshnessReply(version=3, age_s=0.0)
+    async with _node(reply) as (live, _, _):
+        ports = [stack.free_port() for _ in range(30)]
+        peers = tuple(
+            options.Endpoint(address="127.0.0.1", port=port)
+            for port in (*ports, live.port)
+        )
+        async with _querying(None, known_peers=peers) as proofs:
+            await _wait_for(lambda: proofs.age_s is not None)
+
+
 async def test_no_query_without_a_bound() -> None:
     """Guards against traffic in deployments that ask for no bound."""
     reply = freshness.FreshnessReply(version=3, age_s=0.0)
