Grant tokens of client accounts over the fleet

Cause: a usage limit is for all nodes together, but an account's calls are spread over 40 nodes, 0.07 a second on each for the median account. Without usage limits in the settings, nothing is opened and no call waits.

--- /dev/null
+++ b/tanagerspoke/coordination/usage_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet-wide usage limits of client accounts."""
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -31,6 +31,8 @@
 from tanagerspoke.transport.operations import graceful_stop
 from tanagerspoke.transport.operations import log_limit
 from tanagerspoke.transport.operations import supervision
+from tanagerspoke.transport.peers import usage_admission
+from tanagerspoke.transport.peers import usage_service
 from tanagerspoke.transport.peers import zone_feed_service
 from tanagerspoke.transport.store import store_source
 from tanagerspoke.transport.upstreams import dispatcher
@@ -119,12 +121,21 @@
         self._upstream_client = upstream_client.UpstreamClient(
             dialect=adapter.upstreams, late_replies_watched=0
         )
+        self._usage: usage_service.UsageService | None = None
+        if cfg.usage_limits is not None:
+            self._usage = usage_service.UsageService(
+                cfg=cfg, metrics=self._metrics.usage, rng=self._rng
+            )
+            self._metrics.watch_control_bytes(
+                kind="usage", read_total=lambda: self._usage.exchanged_bytes
+            )
         self._zone_feed = zone_feed_service.ZoneFeedService(
             cfg=cfg,
             source=adapter.store,
             on_routing=self._apply_routing_table,
             on_upstreams=self._set_upstreams,
             on_nodes=self._set_node_count,
+            on_node_list=self._set_nodes,
             on_store_call=self._metrics.count_store_call,
             on_unreadable_row=self._metrics.unreadable_rows.inc,
         )
@@ -172,6 +183,8 @@
     async def on_start(self) -> None:
         """Starts the zone feed and opens the ports."""
         await self._upstream_client.start()
+        if self._usage is not None:
+            await self._usage.start()
         await self.add_runtime_dependency(self._zone_feed)
         await self._readiness.start()
         await self._admin.start()
@@ -224,6 +237,8 @@
         ]
         self._cfg = cfg
         self._zone_feed.set_options(cfg)
+        if self._usage is not None:
+            self._usage.set_options(cfg)
         for budget in self._retry_budgets.values():
             budget.set_bounds(
                 ratio=cfg.retry_budget.ratio,
@@ -242,6 +257,8 @@
     async def on_stop(self) -> None:
         """Closes the ports, dispatchers and upstream connections."""
         await self._server.close()
+        if self._usage is not None:
+            self._usage.close()
         for service_dispatcher in self._dispatchers.values():
             service_dispatcher.close()
         await self._readiness.close()
@@ -258,6 +275,8 @@
     def _apply_routing_table(self, table: routing.RoutingTable) -> None:
         if not self._routes.apply(table):
             return
+        if self._usage is not None:
+            self._usage.set_accounts(table.accounts)
         limits = table.limits
         if limits is not None:
             self._limits = caller_calls.Limits(
@@ -339,6 +358,10 @@
                 },
             )
 
+    def _set_nodes(self, nodes: tuple[zone_feed.Node, ...]) -> None:
+        if self._usage is not None:
+            self._usage.set_nodes(nodes)
+
     def _set_node_count(self, nodes: int | None) -> None:
         if nodes == self._node_count:
             return
@@ -489,23 +512,39 @@
                 None,
             )
 
-        record.dispatched = True
-        return self._get_or_create_dispatcher(record.service).start(
-            call=call,
-            request=upstream_dialect.UpstreamRequest(
-                request_id=request.request_id,
-                client_account="",
-                method=request.method,
-                path=request.path,
-                host=request.host,
-                headers=request.headers,
-                body=request.body,
-                service=record.service,
-                max_buffered_bytes=self._cfg.hold_answer_bytes,
-            ),
-            on_done=finish,
+        def start() -> Callable[[], object]:
+            record.dispatched = True
+            return self._get_or_create_dispatcher(record.service).start(
+                call=call,
+                request=upstream_dialect.UpstreamRequest(
+                    request_id=request.request_id,
+                    client_account="",
+                    method=request.method,
+                    path=request.path,
+                    host=request.host,
+                    headers=request.headers,
+                    body=request.body,
+                    service=record.service,
+                    max_buffered_bytes=self._cfg.hold_answer_bytes,
+                ),
+                on_done=finish,
+            )
+
+        account = self._account_of(record)
+        if self._usage is None or account is None or not account.calls_per_s:
+            return start()
+        return usage_admission.start_when_admitted(
+            acquire=functools.partial(self._usage.acquire, account),
+            start=start,
+            on_failed=lambda exc: on_done(None, exc),
         )
 
+    def _account_of(
+        self, record: caller_calls.CallRecord
+    ) -> routing.Account | None:
+        accounts = self._routes.table.accounts or {}
+        return accounts.get(record.client_account)
+
     def _find_route(self, request: caller_calls.CallerRequest) -> routing.Route:
         if self._graceful_stop.listeners_closed:
             raise exceptions.CallRefusedError(
--- a/tanagerspoke/transport/operations/edge_metrics.py
+++ b/tanagerspoke/transport/operations/edge_metrics.py
@@ -13,6 +13,7 @@
 from tanagerspoke.transport.callers import caller_calls
 from tanagerspoke.transport.operations import duration_histogram
 from tanagerspoke.transport.operations import log_limit
+from tanagerspoke.transport.operations import usage_metrics
 from tanagerspoke.transport.upstreams import upstream_client
 
 log = logging.getLogger(__name__)
@@ -169,6 +170,7 @@
             "Repeats that may still be sent in this window",
             ("service",),
         )
+        self.usage = usage_metrics.UsageMetrics(registry=registry)
         self.unreadable_rows = counter(
             "tanagerspoke_edge_unreadable_rows",
             "Rows of the store that held no valid entry when they were read",
--- a/tanagerspoke/transport/peers/zone_feed_service.py
+++ b/tanagerspoke/transport/peers/zone_feed_service.py
@@ -53,6 +53,9 @@
         on_routing: Callable[[routing.RoutingTable], None],
         on_upstreams: Callable[[tuple[upstreams.Upstream, ...]], None],
         on_nodes: Callable[[int | None], None],
+        on_node_list: Callable[[tuple[zone_feed.Node, ...]], None] = (
+            lambda nodes: None
+        ),
         on_store_call: Callable[[str], None] = lambda result: None,
         on_unreadable_row: Callable[[], None] = lambda: None,
     ) -> None:
@@ -65,6 +68,7 @@
             on_upstreams: called with all upstreams when they changed.
             on_nodes: called with the number of nodes when the list changed,
                 None while this node is not listed.
+            on_node_list: called with all listed nodes when the list changed.
             on_store_call: called with the result of each store call: `ok`,
                 `failed` or `history_lost`.
             on_unreadable_row: called for each row of the store that holds no
@@ -75,6 +79,7 @@
         self._on_routing = on_routing
         self._on_upstreams = on_upstreams
         self._on_nodes = on_nodes
+        self._on_node_list = on_node_list
         self._listing = upstream_listing.UpstreamListing()
         self._table: routing.RoutingTable | None = None
         self._nodes: tuple[zone_feed.Node, ...] = ()
@@ -371,3 +376,4 @@
         self._server.publish(zone_feed.NodesUpdate(nodes=nodes))
         listed = any(node.name == self._cfg.node for node in nodes)
         self._on_nodes(len(nodes) if listed else None)
+        self._on_node_list(nodes)
