--- /dev/null
+++ b/tests/coordination/usage_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fleet-wide usage limits."""
