Test tokens, owners, datagrams and the edge's usage limits

Cause: the decision modules and the wiring had no tests of their own. Until the edge authenticates keys, these tests name the account in a header.

--- a/tests/transport/edge_stack.py
+++ b/tests/transport/edge_stack.py
@@ -1,10 +1,12 @@
 """Edges, their store and their workers in the test's event loop."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 import contextlib
 import dataclasses
 import json
+import socket
+import types
 from typing import Any
 
 import aiohttp
@@ -29,6 +31,18 @@
     return options.Endpoint(address="127.0.0.1", port=stack.free_port())
 
 
+def _peers_endpoint() -> options.Endpoint:
+    """Returns an endpoint whose next port is unused for datagrams."""
+    while True:
+        endpoint = _endpoint()
+        with (
+            contextlib.suppress(OSError, OverflowError),
+            socket.socket(type=socket.SOCK_DGRAM) as sock,
+        ):
+            sock.bind((endpoint.address, endpoint.port + 1))
+            return endpoint
+
+
 def manifest(version: int, **changes: Any) -> bytes:
     """Returns a manifest with a safe and an unsafe route.
 
@@ -178,12 +192,14 @@
         *,
         node: int = 0,
         request_id: str = "q1",
+        extra_headers: Mapping[str, str] = types.MappingProxyType({}),
         **request_options: Any,
     ) -> Any:
         headers = {
             "Host": HOST,
             "X-Attempt-Id": request_id,
             "X-Deadline-Ms": "15000",
+            **extra_headers,
         }
         return self.session.request(
             method,
@@ -216,7 +232,7 @@
 
 
 def _cfg(
-    store: metadata_store.MetadataStoreStandin,
+    store: metadata_store.MetadataStoreStandin | None,
     store_endpoint: options.Endpoint,
     node_number: int,
     **changes: Any,
@@ -228,7 +244,7 @@
         first_start=False,
         callers=_endpoint(),
         readiness=_endpoint(),
-        peers=_endpoint(),
+        peers=_peers_endpoint(),
         link_mbps=100.0,
         store=store_endpoint,
         drain_s=1.0,
@@ -243,6 +259,11 @@
     return edge.Edge(**fields | changes)
 
 
+def new_cfg(node_number: int, **changes: Any) -> edge.Edge:
+    """Returns the options of a node whose store does not answer."""
+    return _cfg(None, _endpoint(), node_number, **changes)
+
+
 @contextlib.asynccontextmanager
 async def run(
     *,
@@ -251,10 +272,12 @@
     configured: bool = True,
     zones: str = "a",
     store_page_rows: int = metadata_store.DEFAULT_PAGE_ROWS,
+    **cfg_changes: Any,
 ) -> AsyncIterator[EdgeStack]:
     """Yields a running stack and closes it at the end.
 
-    The nodes are distributed over the zones in turn.
+    The nodes are distributed over the zones in turn. `cfg_changes` replaces
+    options of all nodes.
     """
     async with contextlib.AsyncExitStack() as exit_stack:
         store_endpoint = _endpoint()
@@ -282,6 +305,7 @@
                 store_endpoint,
                 n,
                 availability_zone=zones[n % len(zones)],
+                **cfg_changes,
             )
             for n in range(nodes)
         )
