Bound the messages of owners that disagree; test differing lists

Cause: two nodes that each deny owning an account were asked in turn, one exchange after the other, for up to 120 ms; a node alone in its list could have asked itself without end. Ruled out: giving up at the first denial, which would end calls with 503 while lists differ for a moment. Change: in a round, a denial leads at once to another node only among the targets that were not asked yet. A node that answers as owner is trusted again. The simulated fleet has a list for each node, and a property test states the excess while lists differ.

--- a/tanagerspoke/coordination/usage_limits/allowance.py
+++ b/tanagerspoke/coordination/usage_limits/allowance.py
@@ -161,6 +161,8 @@
         actions: list[verdicts.Action] = []
         if self._silence.answered(node):
             actions.append(verdicts.ReportSilence(node=node, is_silent=False))
+        if reply.result is not usage.Result.NOT_OWNER:
+            self._silence.confirm_owner(node, request.account)
         account_demand = self._demands.get(request.account)
         if account_demand is None:
             return actions
@@ -200,10 +202,7 @@
                 return self._start_round(account, now)
             case usage.Result.NOT_OWNER:
                 self._silence.suspect_for_account(request.node, account, now)
-                current = self._rounds.get(account)
-                if current and request.node == _last_target(current):
-                    return self._ask_next(account, now)
-                return []
+                return self._skip_target(account, request.node, now)
             case _:
                 # This node's own answers cost no messages.
                 return account_demand.refuse_waiting(
@@ -250,6 +249,22 @@
             extra = account_demand.expected_calls(now)
         return [self._ask(account, node, now, waiting=waiting, extra=extra)]
 
+    def _skip_target(
+        self, account: str, node: str, now: float
+    ) -> list[verdicts.Action]:
+        """Asks the next other node at once, for each node once in a round.
+
+        Otherwise owners whose lists differ would be asked again and again.
+        """
+        current = self._rounds.get(account)
+        if current is None or _last_target(current) != node:
+            return []
+        for step in range(current.step, len(current.targets)):
+            if current.targets[step] != node:
+                self._rounds[account] = dataclasses.replace(current, step=step)
+                return self._ask_next(account, now)
+        return []
+
     def _leave_target(
         self, current: _Round, now: float
     ) -> list[verdicts.Action]:
--- a/tanagerspoke/coordination/usage_limits/silence.py
+++ b/tanagerspoke/coordination/usage_limits/silence.py
@@ -32,6 +32,10 @@
         """Records that a node answered that it does not own an account."""
         self._not_owner_until[node, account] = now + _SUSPECT_S
 
+    def confirm_owner(self, node: str, account: str) -> None:
+        """Records that a node answered as an owner of an account."""
+        self._not_owner_until.pop((node, account), None)
+
     def answered(self, node: str) -> bool:
         """Records an answer; returns whether the node was suspected."""
         self._check_at.pop(node, None)
--- a/tests/coordination/usage_limits/test_bound.py
+++ b/tests/coordination/usage_limits/test_bound.py
@@ -207,6 +207,49 @@
     ) <= shares.max_calls(lowered, tolerance)
 
 
+@hypothesis.settings(deadline=None, max_examples=100)
+@hypothesis.given(
+    seed=st.integers(0, 2**16),
+    changes=st.lists(st.tuples(st.integers(0, 4), st.booleans()), max_size=8),
+    differ_s=st.floats(0.0, 3.0),
+    rate=st.floats(0.2, 50.0),
+)
+def test_different_lists_add_only_the_rate_while_they_differ(
+    seed, changes, differ_s, rate
+) -> None:
+    """Guards against two owners that each grant a burst.
+
+    Some nodes drop the owner from their list for a time, or only some learn
+    that it is back.
+    """
+    tolerance = usage_limits.TOLERANCE
+    account = _account(rate, 60.0)
+    network = _Network(seed=seed, loss=0.05, max_delay_s=0.05)
+    fleet = usage_fleet.UsageFleet(
+        nodes=5,
+        accounts=[account],
+        divide=functools.partial(shares.divide, tolerance=tolerance),
+        link=network.link,
+    )
+    others = set(fleet.nodes) - {fleet.owners("a")[0]}
+    for number, is_early in changes:
+        node = fleet.nodes[number]
+        for time_s, listed in ((3.0, others), (7.0, fleet.nodes)):
+            fleet.at(
+                time_s if is_early else time_s + differ_s,
+                functools.partial(fleet.set_nodes, node, listed),
+            )
+    for node in fleet.nodes:
+        for time_s, listed in ((3.0, others), (7.0, fleet.nodes)):
+            fleet.at(
+                time_s + differ_s,
+                functools.partial(fleet.set_nodes, node, listed),
+            )
+    _flood(fleet, account, seed)
+    fleet.run(_SECONDS + 4.0)
+    assert _excess(fleet, account, tolerance) <= rate * 2 * differ_s + 1e-6
+
+
 @pytest.mark.parametrize("nodes", [40, 170])
 @pytest.mark.parametrize("calls_per_s", [0.5, 2.0, 10.0])
 def test_calls_below_the_limit_are_admitted(
