Test that an error at the start of an admitted call reaches its caller

Cause: the start of a call may raise after its token came, outside of the server's own error handling. Change: one test.

--- a/tests/transport/test_usage_limits.py
+++ b/tests/transport/test_usage_limits.py
@@ -18,6 +18,7 @@
 from tanagerspoke.protocol import zone_feed
 from tanagerspoke.settings import edge
 from tanagerspoke.transport.operations import usage_metrics
+from tanagerspoke.transport.peers import usage_admission
 from tanagerspoke.transport.peers import usage_service
 from tests.transport import edge_stack
 
@@ -208,6 +209,21 @@
     assert accounts == {"other"}
 
 
+def test_error_at_the_start_of_an_admitted_call_reaches_its_caller() -> None:
+    """Guards against callers that get no answer after an internal error."""
+    failed = []
+
+    def acquire(on_verdict):
+        on_verdict(verdicts.Admitted())
+        return lambda: None
+
+    cancel = usage_admission.start_when_admitted(
+        acquire=acquire, start=lambda: 1 // 0, on_failed=failed.append
+    )
+    cancel()
+    assert [type(exc) for exc in failed] == [ZeroDivisionError]
+
+
 def _tenants(**limits: dict[str, float]) -> dict[str, object]:
     return {"tenants": {n: {"api_keys": [], **f} for n, f in limits.items()}}
 
