--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -36,6 +36,8 @@
 from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.peers import config_proofs
 from tanagerspoke.transport.peers import freshness_queries
+from tanagerspoke.transport.peers import usage_admission
+from tanagerspoke.transport.peers import usage_service
 from tanagerspoke.transport.peers import zone_feed_service
 from tanagerspoke.transport.store import store_source
 from tanagerspoke.transport.upstreams import dispatcher
@@ -130,6 +132,14 @@
         self._keys = key_access.KeyAccess(
             config_freshness=self._proofs.freshness, clock=self._proofs.now_s
         )
+        self._usage: usage_service.UsageService | None = None
+        if cfg.usage_limits is not None:
+            self._usage = usage_service.UsageService(
+                cfg=cfg, metrics=self._metrics.usage, rng=self._rng
+            )
+            self._metrics.watch_control_bytes(
+                kind="usage", read_total=lambda: self._usage.exchanged_bytes
+            )
         self._zone_feed = zone_feed_service.ZoneFeedService(
             cfg=cfg,
             source=adapter.store,
@@ -137,6 +147,7 @@
             on_routing=self._apply_routing_table,
             on_upstreams=self._set_upstreams,
             on_nodes=self._set_node_count,
+            on_node_list=self._set_nodes,
             on_store_call=self._metrics.count_store_call,
             on_unreadable_row=self._metrics.unreadable_rows.inc,
         )
@@ -199,6 +210,8 @@
     async def on_start(self) -> None:
         """Starts the zone feed and opens the ports."""
         await self._upstream_client.start()
+        if self._usage is not None:
+            await self._usage.start()
         await self.add_runtime_dependency(self._zone_feed)
         await self.add_runtime_dependency(self._freshness_queries)
         await self._readiness.start()
@@ -254,6 +267,8 @@
         self._zone_feed.set_options(cfg)
         self._proofs.freshness.set_bound(_revocation_bound_s(cfg))
         self._freshness_queries.set_options(cfg)
+        if self._usage is not None:
+            self._usage.set_options(cfg)
         for budget in self._retry_budgets.values():
             budget.set_bounds(
                 ratio=cfg.retry_budget.ratio,
@@ -272,6 +287,8 @@
     async def on_stop(self) -> None:
         """Closes the ports, dispatchers and upstream connections."""
         await self._server.close()
+        if self._usage is not None:
+            self._usage.close()
         for service_dispatcher in self._dispatchers.values():
             service_dispatcher.close()
         await self._readiness.close()
@@ -290,6 +307,8 @@
             return
         self._keys.apply(table)
         self._freshness_queries.notify_accounts()
+        if self._usage is not None:
+            self._usage.set_accounts(table.accounts)
         limits = table.limits
         if limits is not None:
             self._limits = caller_calls.Limits(
@@ -371,6 +390,10 @@
                 },
             )
 
+    def _set_nodes(self, nodes: tuple[zone_feed.Node, ...]) -> None:
+        if self._usage is not None:
+            self._usage.set_nodes(nodes)
+
     def _set_node_count(self, nodes: int | None) -> None:
         if nodes == self._node_count:
             return
@@ -531,26 +554,35 @@
                 None,
             )
 
-        record.dispatched = True
-        return self._get_or_create_dispatcher(record.service).start(
-            call=call,
-            request=upstream_dialect.UpstreamRequest(
-                request_id=request.request_id,
-                client_account=record.client_account,
-                method=request.method,
-                path=request.path,
-                host=request.host,
-                headers=request.headers,
-                body=request.body,
-                service=record.service,
-                max_buffered_bytes=self._cfg.hold_answer_bytes,
-                may_send=(
-                    None
-                    if account is None
-                    else functools.partial(self._keys.may_send, call)
+        def start() -> Callable[[], object]:
+            record.dispatched = True
+            return self._get_or_create_dispatcher(record.service).start(
+                call=call,
+                request=upstream_dialect.UpstreamRequest(
+                    request_id=request.request_id,
+                    client_account=record.client_account,
+                    method=request.method,
+                    path=request.path,
+                    host=request.host,
+                    headers=request.headers,
+                    body=request.body,
+                    service=record.service,
+                    max_buffered_bytes=self._cfg.hold_answer_bytes,
+                    may_send=(
+                        None
+                        if account is None
+                        else functools.partial(self._keys.may_send, call)
+                    ),
                 ),
-            ),
-            on_done=finish,
+                on_done=finish,
+            )
+
+        if self._usage is None or account is None or not account.calls_per_s:
+            return start()
+        return usage_admission.start_when_admitted(
+            acquire=functools.partial(self._usage.acquire, account),
+            start=start,
+            on_failed=lambda exc: on_done(None, exc),
         )
 
     def _check_key(self, request: caller_calls.CallerRequest) -> None:
--- a/tests/transport/edge_stack.py
+++ b/tests/transport/edge_stack.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import json
+import socket
 from typing import Any
 
 import aiohttp
@@ -29,6 +30,18 @@
     return options.Endpoint(address="127.0.0.1", port=stack.free_port())
 
 
+def _peers_endpoint() -> options.Endpoint:
+    """Returns an endpoint whose next port is unused for datagrams."""
+    while True:
+        endpoint = _endpoint()
+        with (
+            contextlib.suppress(OSError, OverflowError),
+            socket.socket(type=socket.SOCK_DGRAM) as sock,
+        ):
+            sock.bind((endpoint.address, endpoint.port + 1))
+            return endpoint
+
+
 def manifest(version: int, **changes: Any) -> bytes:
     """Returns a manifest with a safe and an unsafe route.
 
@@ -231,7 +244,7 @@
         first_start=False,
         callers=_endpoint(),
         readiness=_endpoint(),
-        peers=_endpoint(),
+        peers=_peers_endpoint(),
         link_mbps=100.0,
         store=store_endpoint,
         drain_s=1.0,
@@ -246,6 +259,11 @@
     return edge.Edge(**fields | changes)
 
 
+def new_cfg(node_number: int, **changes: Any) -> edge.Edge:
+    """Returns the options of a node whose store does not answer."""
+    return make_cfg(_endpoint(), node_number, **changes)
+
+
 @contextlib.asynccontextmanager
 async def run(
     *,
