--- a/tanagerspoke/coordination/call_attempts.py
+++ b/tanagerspoke/coordination/call_attempts.py
@@ -17,12 +17,15 @@
         started_at: monotonic seconds.
         saturated: whether nearly all slots of the upstream were in use after
             it started.
+        cold: whether the upstream was cold, and its calls limited for this,
+            when it started.
     """
 
     record: loads.UpstreamLoad
     started_at: float
     is_hedge: bool
     saturated: bool = False
+    cold: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/tanagerspoke/coordination/ejection.py
+++ b/tanagerspoke/coordination/ejection.py
@@ -54,7 +54,7 @@
         record.ejections += 1
         record.consecutive_failures = 0
         record.ejected_until = now + duration_s
-        record.ramp_starts_at = record.ejected_until
+        record.ramp_starts_at = max(record.ejected_until, record.cold_until)
         return True
 
     def _may_eject(self, now: float) -> bool:
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -14,6 +14,7 @@
 from tanagerspoke.coordination import route_statistics
 from tanagerspoke.coordination import subsetting
 from tanagerspoke.coordination import target_queue
+from tanagerspoke.coordination.cold_upstreams import cold_choice
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import randomness
@@ -80,6 +81,7 @@
         nodes: int = 1,
         node: str = "",
         gate: dispatch_gate.CombinedGate | None = None,
+        limits_cold: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates a scheduler without upstreams.
 
@@ -93,6 +95,8 @@
             nodes: live nodes that share the upstreams.
             node: name of this node, which decides which upstreams it prefers.
             gate: passed by each attempt immediately before it is sent.
+            limits_cold: returns whether the calls of cold upstreams are
+                limited; otherwise they are used like others.
         """
         self._gate = gate or dispatch_gate.CombinedGate(parts=())
         self._node = node
@@ -103,6 +107,9 @@
         self._rng = rng
         self._nodes = max(1, nodes)
         self._view = loads.LoadView(exact_for_s=probe_rounds.MAX_FRESH_AGE_S)
+        self._cold = cold_choice.ColdChoice(
+            view=self._view, limits_cold=limits_cold
+        )
         self._balancer = balancing.Balancer(
             view=self._view,
             availability_zone=availability_zone,
@@ -133,6 +140,15 @@
         """Calls that wait for an upstream."""
         return len(self._queue)
 
+    def is_cold(self, upstream: upstreams.Upstream, now: float) -> bool:
+        """Returns whether an upstream is cold."""
+        record = self._view.get(upstream.upstream_id)
+        return record is not None and record.is_cold(now)
+
+    def cold_count(self, now: float) -> int:
+        """Returns the number of eligible upstreams that are cold."""
+        return self._view.cold_count(now)
+
     def set_gateways(self, gateways: int) -> None:
         """Sets the number of live nodes that share the upstreams."""
         self._nodes = max(1, gateways)
@@ -182,24 +198,39 @@
                 actions += self._calls.start_response(event)
             case calls.CallerDisconnected(call_id=call_id):
                 self._handle_disconnect(call_id, actions)
+            case calls.ProbeEnded():
+                self._end_probe(event, now)
+            case _:
+                self._update_upstreams(event, now)
+        self._run_due_work(now, actions)
+        return actions
+
+    def _update_upstreams(
+        self, event: calls.SchedulerEvent, now: float
+    ) -> None:
+        match event:
             case calls.UpstreamsChanged(upstreams=changed):
                 self._view.set_upstreams(listed=changed, now=now)
-                self._preferred = subsetting.preferred_ids(
-                    node=self._node,
-                    availability_zone=self._availability_zone,
-                    listed=[r.upstream for r in self._view.eligible],
-                    size=_PREFERRED_UPSTREAMS,
-                )
+                self._cold.apply_entries(event.cold_until, now)
+                self._update_preferred()
+            case calls.ZonesEvacuated(zones=zones):
+                self._view.set_evacuated_zones(zones, now)
+                self._update_preferred()
             case calls.DrainMarked(upstream_id=upstream_id):
                 self._view.mark_draining(upstream_id)
             case calls.NoticeReceived(upstream=upstream, notice=notice):
                 self._view.apply_notice(upstream, notice, now)
+                self._cold.apply_notice(upstream, notice, now)
             case calls.LoadReported(upstream_id=upstream_id, load=load):
                 self._apply_report(upstream_id, load, now)
-            case calls.ProbeEnded():
-                self._end_probe(event, now)
-        self._run_due_work(now, actions)
-        return actions
+
+    def _update_preferred(self) -> None:
+        self._preferred = subsetting.preferred_ids(
+            node=self._node,
+            availability_zone=self._availability_zone,
+            listed=[r.upstream for r in self._view.eligible],
+            size=_PREFERRED_UPSTREAMS,
+        )
 
     def _handle_arrival(
         self,
@@ -266,20 +297,43 @@
         """
         state = self._calls[queued_call.call.call_id]
         if not self._probes.reports_load:
-            return self._choose_upstream(state, now, use_fair_share=True)
+            return self._choose_upstream(
+                state, now, use_fair_share=True
+            ) or self._choose_cold(state, now, max_utilization=None)
         late = now > queued_call.latest_start_at
+        max_utilization = _LATE_CALL_MAX_UTILIZATION if late else None
         fast = self._choose_upstream(
-            state,
-            now,
-            fast_only=True,
-            max_utilization=_LATE_CALL_MAX_UTILIZATION if late else None,
+            state, now, fast_only=True, max_utilization=max_utilization
         )
-        if fast is not None or now < self._fast_host_wait_end(
-            state, queued_call, now
-        ):
+        if fast is not None:
             return fast
+        if now < self._fast_host_wait_end(state, queued_call, now):
+            return self._choose_cold(
+                state, now, fresh_only=True, max_utilization=max_utilization
+            )
         return self._choose_upstream(
             state, now, max_utilization=_LATE_CALL_MAX_UTILIZATION
+        ) or self._choose_cold(
+            state, now, max_utilization=_LATE_CALL_MAX_UTILIZATION
+        )
+
+    def _choose_cold(
+        self,
+        state: call_attempts.CallState,
+        now: float,
+        *,
+        max_utilization: float | None,
+        fresh_only: bool = False,
+    ) -> loads.UpstreamLoad | None:
+        """Returns a cold upstream for a call that no other can take now."""
+        if not self._cold.may_use(queued_at=state.queued_at, now=now):
+            return None
+        return self._choose_upstream(
+            state,
+            now,
+            cold_only=True,
+            fresh_only=fresh_only,
+            max_utilization=max_utilization,
         )
 
     def _fast_host_wait_end(
@@ -299,9 +353,16 @@
         *,
         need_free_slot: bool = False,
         fast_only: bool = False,
+        cold_only: bool = False,
+        fresh_only: bool = False,
         use_fair_share: bool = False,
         max_utilization: float | None = None,
     ) -> loads.UpstreamLoad | None:
+        """Returns an upstream for a call, or None if none may get it now.
+
+        Cold upstreams are left out, except with `cold_only`. With `fresh_only`,
+        only upstreams with a fresh report are considered.
+        """
         tried = state.tried
         # A retry may use an upstream again if there is no other. A hedge may
         # not: it would be as slow as the first attempt.
@@ -322,7 +383,7 @@
             now=now,
             tried=tried,
             use_fair_share=use_fair_share,
-            need_free_slot=need_free_slot or fast_only,
+            need_free_slot=need_free_slot or fast_only or fresh_only,
             max_utilization=max_utilization,
             utilization_weight=(
                 _REPORTED_UTILIZATION_WEIGHT
@@ -335,25 +396,29 @@
                 self._view.recently_reported(
                     now=now, max_age_s=probe_rounds.MAX_FRESH_AGE_S
                 )
-                if fast_only
+                if fast_only or fresh_only
                 else None
             ),
-            accept=self._acceptance(now, fast_only=fast_only),
+            accept=self._acceptance(
+                now, fast_only=fast_only, cold_only=cold_only
+            ),
         )
 
     def _acceptance(
-        self, now: float, *, fast_only: bool
+        self, now: float, *, fast_only: bool, cold_only: bool
     ) -> Callable[[loads.UpstreamLoad], bool] | None:
         """Returns the condition that an upstream must meet, or None."""
-        if self._gate.is_open:
+        if self._gate.is_open and not self._cold.has_any(now):
             if not fast_only:
                 return None
             return functools.partial(probe_rounds.is_fast, now=now)
 
         def accept(record: loads.UpstreamLoad) -> bool:
             return (
-                not fast_only or probe_rounds.is_fast(record, now)
-            ) and self._gate.admits(record.upstream, now)
+                self._cold.is_cold(record, now) == cold_only
+                and (not fast_only or probe_rounds.is_fast(record, now))
+                and self._gate.admits(record.upstream, now)
+            )
 
         return accept
 
@@ -382,6 +447,7 @@
             started_at=now,
             is_hedge=is_hedge,
             saturated=in_flight / record.slots > _MAX_UNSATURATED_UTILIZATION,
+            cold=self._cold.is_cold(record, now),
         )
         upstream_id = record.upstream.upstream_id
         self._gate.record_dispatch(record.upstream, now)
@@ -429,6 +495,7 @@
             is_hedge=attempt.is_hedge,
             elapsed_s=now - attempt.started_at,
             now=now,
+            cold=attempt.cold,
         )
         if ejected:
             actions.append(
@@ -558,12 +625,18 @@
         queued_since: float,
         actions: list[calls.SchedulerAction],
     ) -> None:
+        may_use_cold = self._cold.may_use(queued_at=queued_since, now=now)
         records = [
             r
             for r in self._view.eligible
             if r.local_in_flight < r.slots
             and r.ejected_until <= now
             and r.paused_until <= now
+            # An upstream that may get no call now need not report its load.
+            and (
+                not self._cold.is_cold(r, now)
+                or (may_use_cold and self._gate.admits(r.upstream, now))
+            )
         ]
         self._rng.shuffle(records)
         records.sort(
--- a/tanagerspoke/coordination/route_statistics.py
+++ b/tanagerspoke/coordination/route_statistics.py
@@ -10,6 +10,9 @@
 # least this multiple of the route's median duration: an attempt with a shorter
 # deadline may time out at a healthy upstream.
 _MIN_TIMEOUT_FAILURE_RATIO = 3.0
+# A cold upstream takes twice the usual time, so that the same factor applies to
+# twice the median.
+_MIN_COLD_TIMEOUT_FAILURE_RATIO = 6.0
 # A connection that ends without a response before this share of the route's
 # median duration was probably dropped by a full upstream, or had been forgotten
 # while it was idle.
@@ -67,6 +70,7 @@
         is_hedge: bool,
         elapsed_s: float,
         now: float,
+        cold: bool = False,
     ) -> bool:
         """Adds an ended attempt; returns whether it ejects its upstream.
 
@@ -79,24 +83,32 @@
             is_hedge: whether it was sent as a hedge.
             elapsed_s: seconds from its start to its end.
             now: monotonic seconds.
+            cold: whether the upstream was cold when it started. Its duration
+                then says nothing about the route, whose quantiles decide when
+                calls are late and hedged.
         """
         ratio = self._ratio_to_median(call, elapsed_s)
         match result:
             case calls.Answered(failed=False):
-                self._saturation_cost.add_sample(
-                    saturated=saturated, duration_ratio=ratio
-                )
                 record.record_duration(ratio=ratio, pull=False, now=now)
-                self._durations_for(call).add(elapsed_s)
+                if not cold:
+                    self._saturation_cost.add_sample(
+                        saturated=saturated, duration_ratio=ratio
+                    )
+                    self._durations_for(call).add(elapsed_s)
                 self._ejector.record_success(record)
             case calls.Cancelled():
                 # The elapsed time is a lower bound of the duration.
                 record.record_min_duration(ratio=ratio, now=now)
-                if not is_hedge:
+                if not is_hedge and not cold:
                     self._durations_for(call).add(elapsed_s)
             case calls.TimedOut():
                 record.record_min_duration(ratio=ratio, now=now)
-                if ratio >= _MIN_TIMEOUT_FAILURE_RATIO:
+                if ratio >= (
+                    _MIN_COLD_TIMEOUT_FAILURE_RATIO
+                    if cold
+                    else _MIN_TIMEOUT_FAILURE_RATIO
+                ):
                     return self._record_failure(record, now)
             case calls.Shed():
                 record.record_failure(now)
--- a/tanagerspoke/coordination/upstream_listing.py
+++ b/tanagerspoke/coordination/upstream_listing.py
@@ -6,8 +6,10 @@
 """
 
 import collections
+from collections.abc import Mapping
 import dataclasses
 
+from tanagerspoke.coordination.cold_upstreams import cold_ends
 from tanagerspoke.protocol import listing
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.protocol import zone_feed
@@ -45,6 +47,7 @@
     def __init__(self) -> None:
         self._entries: dict[str, listing.ListedUpstream] = {}
         self._orders: dict[str, _ReportOrder] = {}
+        self._cold_ends = cold_ends.ColdEnds()
         # Newest reports of removed upstreams, so that a delayed report cannot
         # add an upstream again after it left.
         self._removed: dict[str, _ReportOrder] = {}
@@ -62,10 +65,28 @@
         """All upstreams in use, including those that are draining."""
         return tuple(entry.upstream for entry in self._entries.values())
 
+    def entries_at(self, now: float) -> tuple[listing.ListedUpstream, ...]:
+        """Returns the entries in use, with the cold time that is left now.
+
+        Another node counts it from the arrival of the entries.
+        """
+        return tuple(
+            dataclasses.replace(
+                entry,
+                remaining_cold_s=min(
+                    entry.remaining_cold_s,
+                    self._cold_ends.left_s(entry.upstream.upstream_id, now),
+                ),
+            )
+            if entry.remaining_cold_s
+            else entry
+            for entry in self._entries.values()
+        )
+
     @property
-    def entries(self) -> tuple[listing.ListedUpstream, ...]:
-        """The entries of all upstreams in use."""
-        return tuple(self._entries.values())
+    def cold_until(self) -> Mapping[str, float]:
+        """Ends of the cold periods that entries state, by upstream."""
+        return self._cold_ends.until
 
     @property
     def position(self) -> int:
@@ -110,7 +131,11 @@
         )
 
     def apply_snapshot(
-        self, entries: tuple[listing.ListedUpstream, ...], *, position: int
+        self,
+        entries: tuple[listing.ListedUpstream, ...],
+        *,
+        position: int,
+        now: float,
     ) -> bool:
         """Replaces the entries by those of another node.
 
@@ -127,7 +152,7 @@
             changed = True
         self._held_until.clear()
         for entry in entries:
-            changed |= self._apply_entry(entry.upstream.upstream_id, entry)
+            changed |= self._apply_entry(entry.upstream.upstream_id, entry, now)
         return changed
 
     @property
@@ -162,7 +187,9 @@
         for change in changes.changes:
             if change.entry is not None:
                 present.add(change.upstream_id)
-                changed |= self._apply_entry(change.upstream_id, change.entry)
+                changed |= self._apply_entry(
+                    change.upstream_id, change.entry, now
+                )
             elif change.problem is None:
                 changed |= self._apply_removal(change.upstream_id, now)
             else:
@@ -209,7 +236,7 @@
         return bool(due)
 
     def _apply_entry(
-        self, upstream_id: str, entry: listing.ListedUpstream
+        self, upstream_id: str, entry: listing.ListedUpstream, now: float
     ) -> bool:
         order = _ReportOrder(
             started_ms=entry.upstream.started_ms, sequence=entry.sequence
@@ -220,12 +247,24 @@
             return False
         if removed is not None and order.key <= removed.key:
             return False
+        cold_changed = order != known and self._cold_ends.record_entry(
+            upstream_id=upstream_id,
+            is_new_process=(
+                known is None or known.started_ms != order.started_ms
+            ),
+            left_s=entry.remaining_cold_s,
+            now=now,
+        )
         self._orders[upstream_id] = order
         self._held_until.pop(upstream_id, None)
         previous = self._entries.get(upstream_id)
         entry = self._with_leaving(entry)
         self._entries[upstream_id] = entry
-        return previous is None or previous.upstream != entry.upstream
+        return (
+            previous is None
+            or previous.upstream != entry.upstream
+            or cold_changed
+        )
 
     def _apply_removal(self, upstream_id: str, now: float) -> bool:
         if upstream_id not in self._entries:
@@ -240,6 +279,7 @@
 
     def _drop_entry(self, upstream_id: str) -> None:
         del self._entries[upstream_id]
+        self._cold_ends.forget(upstream_id)
         # Removing the id first moves it to the end, so that the ids are in
         # the order of removal, the oldest first.
         self._removed.pop(upstream_id, None)
--- a/tanagerspoke/platform/headers.py
+++ b/tanagerspoke/platform/headers.py
@@ -24,6 +24,8 @@
 LOAD = "X-Server-Load"
 # `1` in all responses of a worker that is leaving.
 LEAVING = "Server-Leaving"
+# In health responses: milliseconds for which the worker will remain slow.
+COLD_MS = "X-Cold-Ms"
 
 _WRONG_UPSTREAM_STATUS = 421
 _STATUSES_WITH_RETRY_AFTER = (
@@ -38,6 +40,8 @@
 # Larger numbers are a faulty report.
 _MAX_LOAD_NUMBER = 1_000_000
 _MAX_LOGGED_LENGTH = 100
+# Longer cold periods are faulty; the same bound as for `cold_left_s`.
+_MAX_COLD_MS = 600_000
 # Digits of a deadline in milliseconds: 11 days.
 _MAX_DEADLINE_DIGITS = 9
 _DROPPED_REQUEST_HEADERS = headers.HOP_BY_HOP | {
@@ -160,7 +164,10 @@
         )
 
     def notice(
-        self, head: aiohttp_http.RawResponseMessage
+        self,
+        *,
+        head: aiohttp_http.RawResponseMessage,
+        request: upstream_dialect.UpstreamRequest,
     ) -> upstreams.Notice | None:
         """Implements `UpstreamDialect`.
 
@@ -171,9 +178,26 @@
             return None
         leaving = head.headers.get(LEAVING) == "1"
         pause_s = _requested_pause_s(head)
-        if not leaving and pause_s is None:
+        cold_s = _cold_s(head) if request.probe else None
+        if not leaving and pause_s is None and cold_s is None:
             return None
-        return upstreams.Notice(leaving=leaving, pause_s=pause_s)
+        return upstreams.Notice(leaving=leaving, pause_s=pause_s, cold_s=cold_s)
+
+
+def _cold_s(head: aiohttp_http.RawResponseMessage) -> float | None:
+    """Returns the seconds that a worker remains cold, or None.
+
+    0 is no statement: workers that are not cold send it in each response.
+    """
+    values = head.headers.getall(COLD_MS, ())
+    if len(values) != 1:
+        return None
+    (value,) = values
+    if not value.isascii() or not value.isdecimal():
+        return None
+    if len(value) > len(str(_MAX_COLD_MS)) or int(value) > _MAX_COLD_MS:
+        return None
+    return int(value) / 1000 or None
 
 
 def _requested_pause_s(head: aiohttp_http.RawResponseMessage) -> float | None:
--- a/tanagerspoke/platform/manifest.py
+++ b/tanagerspoke/platform/manifest.py
@@ -42,6 +42,7 @@
 _limits_decoder = msgspec.json.Decoder(wire.Limits)
 _node_decoder = msgspec.json.Decoder(wire.NodeEntry)
 _worker_decoder = msgspec.json.Decoder(wire.WorkerEntry)
+_cold_seconds_decoder = msgspec.json.Decoder(ranges.ColdSeconds)
 
 
 def _decode(decoder: msgspec.json.Decoder[T], value: bytes) -> T:
@@ -330,9 +331,18 @@
             started_ms=entry.born,
         ),
         sequence=entry.seq_no,
+        remaining_cold_s=_cold_left_s(entry.cold_left_s),
     )
 
 
+def _cold_left_s(encoded: msgspec.Raw) -> float:
+    """Returns the rest of a cold period; 0 if the value is invalid."""
+    try:
+        return _decode(_cold_seconds_decoder, encoded)
+    except exceptions.ProtocolError:
+        return 0.0
+
+
 def encode_node(node: zone_feed.Node) -> wire.NodeEntry:
     """Returns the store entry of an edge node."""
     return wire.NodeEntry(
--- a/tanagerspoke/platform/store.py
+++ b/tanagerspoke/platform/store.py
@@ -8,6 +8,7 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.coordination import budget
+from tanagerspoke.platform import evacuation
 from tanagerspoke.platform import manifest
 from tanagerspoke.platform import wire
 from tanagerspoke.protocol import listing
@@ -53,7 +54,9 @@
 
     async def read_routing(self) -> routing.RoutingChange:
         """Implements `StoreSource`."""
-        return _routing_change(await self._read_table(wire.CONFIG_TABLE))
+        return _routing_change(
+            await self._read_table(wire.CONFIG_TABLE), complete=True
+        )
 
     async def wait_for_routing_change(
         self, *, position: int, wait_s: float
@@ -62,7 +65,8 @@
         return _routing_change(
             await self._read_changes(
                 wire.CONFIG_TABLE, after=position, wait_s=wait_s
-            )
+            ),
+            complete=False,
         )
 
     async def read_upstreams(
@@ -215,7 +219,10 @@
         return body
 
 
-def _routing_change(reply: wire.RowsReply) -> routing.RoutingChange:
+def _routing_change(
+    reply: wire.RowsReply, *, complete: bool
+) -> routing.RoutingChange:
+    zones = evacuation.decode_zones(reply.rows, complete=complete)
     for row in reply.rows:
         if row.key != wire.CONFIG_KEY or row.value is None:
             continue
@@ -223,10 +230,14 @@
             table = manifest.decode_manifest(row.value)
         except exceptions.ProtocolError as exc:
             return routing.RoutingChange(
-                position=reply.ver, problem=f"store version {row.ver}: {exc}"
+                position=reply.ver,
+                problem=f"store version {row.ver}: {exc}",
+                zones=zones,
             )
-        return routing.RoutingChange(position=reply.ver, table=table)
-    return routing.RoutingChange(position=reply.ver)
+        return routing.RoutingChange(
+            position=reply.ver, table=table, zones=zones
+        )
+    return routing.RoutingChange(position=reply.ver, zones=zones)
 
 
 def _list_changes(
--- a/tanagerspoke/platform/wire.py
+++ b/tanagerspoke/platform/wire.py
@@ -13,6 +13,8 @@
 # Tables that the platform's operator (`op`) and workers (`servers`) write.
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
+# Prefix of the keys of rows that evacuate the zone that follows it.
+EVACUATION_PREFIX = "evacuate/"
 WORKERS_TABLE = "servers"
 
 # `address:port`; see `manifest.decode_endpoint` for the ranges of both.
@@ -135,6 +137,9 @@
         state: `ready` or `draining`.
         seq_no: number of the report since the worker's start.
         born: time of the worker's start in Unix milliseconds.
+        cold_left_s: encoded seconds for which the worker will remain slow;
+            decoded by itself, so that an invalid value does not make the
+            entry unusable.
     """
 
     service: ranges.Name
@@ -144,6 +149,7 @@
     state: str
     seq_no: ranges.SequenceNumber
     born: ranges.UnixMs
+    cold_left_s: msgspec.Raw = msgspec.Raw(b"0")
 
 
 class Row(msgspec.Struct, frozen=True, kw_only=True):
--- a/tanagerspoke/protocol/calls.py
+++ b/tanagerspoke/protocol/calls.py
@@ -3,6 +3,7 @@
 Times are in seconds of the monotonic clock of the process.
 """
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 from typing import TypeAlias
@@ -170,9 +171,21 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class UpstreamsChanged:
-    """The complete list of the service's upstreams."""
+    """The complete list of the service's upstreams.
+
+    Attributes:
+        cold_until: ends of the cold periods that their entries state, by id.
+    """
 
     upstreams: tuple[upstreams.Upstream, ...]
+    cold_until: Mapping[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ZonesEvacuated:
+    """The complete set of evacuated availability zones."""
+
+    zones: frozenset[str]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -229,6 +242,7 @@
     | ResponseStarted
     | CallerDisconnected
     | UpstreamsChanged
+    | ZonesEvacuated
     | DrainMarked
     | NoticeReceived
     | LoadReported
--- a/tanagerspoke/protocol/listing.py
+++ b/tanagerspoke/protocol/listing.py
@@ -12,10 +12,13 @@
 
     Attributes:
         sequence: number of the report since the upstream's process started.
+        remaining_cold_s: time for which the upstream stays cold, counted from
+            the moment at which the store or another node sent the entry.
     """
 
     upstream: upstreams.Upstream
     sequence: ranges.SequenceNumber
+    remaining_cold_s: ranges.ColdSeconds = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tanagerspoke/protocol/ranges.py
+++ b/tanagerspoke/protocol/ranges.py
@@ -18,6 +18,8 @@
 ]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
 OptionalSeconds = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
+# Longer cold periods are faulty reports: upstreams are cold for some seconds.
+ColdSeconds = Annotated[float, msgspec.Meta(ge=0, le=600)]
 CallRate = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 # Hexadecimal digest of an API key; see `protocol/key_digests.py`.
 KeyDigest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{32}$")]
--- a/tanagerspoke/protocol/routing.py
+++ b/tanagerspoke/protocol/routing.py
@@ -5,6 +5,7 @@
 import enum
 
 from tanagerspoke.protocol import ranges
+from tanagerspoke.protocol import zones as zones_types
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -169,8 +170,10 @@
         table: the newest version, None where nothing changed or the newest
             version cannot be read.
         problem: why the newest version cannot be read, or None.
+        zones: change of the evacuated zones, None where nothing changed.
     """
 
     position: int
     table: RoutingTable | None = None
     problem: str | None = None
+    zones: zones_types.ZonesChange | None = None
--- a/tanagerspoke/protocol/upstreams.py
+++ b/tanagerspoke/protocol/upstreams.py
@@ -63,10 +63,12 @@
         leaving: whether it is leaving, so it must get no new calls.
         pause_s: seconds for which it wants no calls from this process, None
             where it states none.
+        cold_s: seconds for which it stays cold, None where it states none.
     """
 
     leaving: bool = False
     pause_s: float | None = None
+    cold_s: float | None = None
 
 
 def group_by_service(
--- a/tanagerspoke/protocol/zone_feed.py
+++ b/tanagerspoke/protocol/zone_feed.py
@@ -90,6 +90,18 @@
     nodes: tuple[Node, ...]
 
 
+class ZonesUpdate(msgspec.Struct, frozen=True, kw_only=True, tag="zones"):
+    """All evacuated availability zones.
+
+    Attributes:
+        position: position in the store's change history that the set
+            reflects; an older one never replaces a newer one.
+    """
+
+    position: ranges.Position
+    evacuated: tuple[ranges.Name, ...]
+
+
 class Keepalive(msgspec.Struct, frozen=True, kw_only=True, tag="alive"):
     """Sent at short intervals, also when nothing changes.
 
@@ -102,5 +114,10 @@
 
 
 ZoneUpdate: TypeAlias = (
-    RoutingUpdate | UpstreamsUpdate | LeavingUpdate | NodesUpdate | Keepalive
+    RoutingUpdate
+    | UpstreamsUpdate
+    | LeavingUpdate
+    | NodesUpdate
+    | ZonesUpdate
+    | Keepalive
 )
--- a/tanagerspoke/settings/edge_standins.py
+++ b/tanagerspoke/settings/edge_standins.py
@@ -42,6 +42,8 @@
         heartbeat_s: interval between reports of its entry.
         drain_s: time for which it keeps serving after it reported that it is
             draining.
+        cold_start_s: time after the start in which it works slowly.
+        cold_factor: factor on the work time while it is cold.
     """
 
     name: str
@@ -56,5 +58,7 @@
     work_ms: Annotated[float, pydantic.Field(gt=0)] = 20.0
     heartbeat_s: options.PositiveSeconds = 0.5
     drain_s: Annotated[float, pydantic.Field(ge=0)] = 2.0
+    cold_start_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    cold_factor: Annotated[float, pydantic.Field(ge=1)] = 2.0
     seed: int = 0
     log_level: options.LogLevel = "INFO"
--- a/tanagerspoke/standins/routed_worker.py
+++ b/tanagerspoke/standins/routed_worker.py
@@ -67,6 +67,18 @@
     mute: _Share = 0.0
 
 
+class ColdPeriod(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Makes a running worker cold again.
+
+    Attributes:
+        for_s: time for which it stays cold from now on.
+    """
+
+    for_s: Annotated[float, msgspec.Meta(ge=0)]
+
+
 def signature(*, request_id: str, body: bytes) -> str:
     """Returns the signature of a response, over its request id and body."""
     return digest(request_id.encode() + body)
@@ -89,6 +101,7 @@
         self._waiting = 0
         self._sequence_number = 0
         self._started_at_ms = int(time.time() * 1000)
+        self._cold_until = time.monotonic() + cfg.cold_start_s
         self._stopping = False
         # Responses that are sent again, by the peer of their connection.
         self._late_copies: dict[Any, bytes] = {}
@@ -101,6 +114,7 @@
         app = web.Application(middlewares=[self._send_copies])
         app.router.add_get(HEALTH_PATH, self._get_health)
         app.router.add_put("/control/faults", self._put_faults)
+        app.router.add_put("/control/cold", self._put_cold)
         app.router.add_route("*", "/{path:.*}", self._serve)
         self._runner = web.AppRunner(
             app,
@@ -157,6 +171,7 @@
             state="draining" if self._stopping else "ready",
             seq_no=self._sequence_number,
             born=self._started_at_ms,
+            cold_left_s=msgspec.Raw(msgspec.json.encode(self._cold_left_s)),
         )
         row = self._entry_row(value=msgspec.json.encode(entry))
         return await self._transact(wire.Transaction(set_keys=(row,)))
@@ -178,6 +193,15 @@
             log.warning("report_failed", extra={"error": repr(exc)})
             return False
 
+    @property
+    def _cold_left_s(self) -> float:
+        return max(0.0, self._cold_until - time.monotonic())
+
+    async def _put_cold(self, req: web.Request) -> web.Response:
+        period = await json_responses.decode(req, ColdPeriod)
+        self._cold_until = time.monotonic() + period.for_s
+        return web.Response(status=204)
+
     async def _put_faults(self, req: web.Request) -> web.Response:
         self._faults = await json_responses.decode(req, WorkerFaults)
         self._late_copies.clear()
@@ -222,7 +246,8 @@
     async def _get_health(self, req: web.Request) -> web.Response:
         del req
         response_headers = self._usual_headers() | {
-            headers.RESPONDER: self._cfg.name
+            headers.RESPONDER: self._cfg.name,
+            headers.COLD_MS: str(int(self._cold_left_s * 1000)),
         }
         failing = self._stopping or self._fault_occurs(self._faults.unhealthy)
         return web.Response(
@@ -263,6 +288,8 @@
 
     async def _work(self) -> None:
         work_s = self._rng.expovariate(1000 / self._cfg.work_ms)
+        if self._cold_left_s > 0.0:
+            work_s *= self._cfg.cold_factor
         await asyncio.sleep(work_s * self._faults.slow_factor)
 
     def _log_run(
--- a/tanagerspoke/state/loads.py
+++ b/tanagerspoke/state/loads.py
@@ -1,7 +1,7 @@
 """Estimated load of the upstreams of one service, as one process sees it."""
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from tanagerspoke.protocol import upstreams
 
@@ -75,6 +75,11 @@
             because its last probes got no response.
         paused_until: end of the pause that it asked for; it gets neither calls
             nor probes before.
+        entry_cold_until: end of its cold period, in which it works slowly, by
+            its entry in the list.
+        health_cold_until: end of its cold period by its health responses.
+        cold_until: the later of the two.
+        evacuated: whether its availability zone is evacuated.
     """
 
     __slots__ = (
@@ -96,6 +101,10 @@
         "ramp_starts_at",
         "ejected_until",
         "paused_until",
+        "entry_cold_until",
+        "health_cold_until",
+        "cold_until",
+        "evacuated",
         "probe_failures",
         "probe_last_until",
         "consecutive_failures",
@@ -121,6 +130,10 @@
         self.ramp_starts_at: float | None = None
         self.ejected_until = 0.0
         self.paused_until = float("-inf")
+        self.entry_cold_until = float("-inf")
+        self.health_cold_until = float("-inf")
+        self.cold_until = float("-inf")
+        self.evacuated = False
         self.probe_failures = 0
         self.probe_last_until = float("-inf")
         self.consecutive_failures = 0.0
@@ -129,7 +142,12 @@
     @property
     def is_eligible(self) -> bool:
         """Whether the upstream may get new calls, unless it is ejected."""
-        return self.listed and not self.draining and not self.upstream.leaving
+        return (
+            self.listed
+            and not self.draining
+            and not self.evacuated
+            and not self.upstream.leaving
+        )
 
     @property
     def reports_draining(self) -> bool:
@@ -186,7 +204,9 @@
 
     def attempt_limit(self, now: float) -> int:
         """Returns the maximum number of concurrent attempts of this process."""
-        if self.ramp_starts_at is None:
+        # Before the start of its ramp, an upstream that is not excluded for
+        # another reason is cold; `cold_upstreams` limits its calls.
+        if self.ramp_starts_at is None or now < self.ramp_starts_at:
             return self.slots
         share = (
             _RAMP_START_SHARE + (now - self.ramp_starts_at) / _RAMP_DURATION_S
@@ -217,6 +237,26 @@
         self.probe_failures = min(16, self.probe_failures + 1)
         self.probe_last_until = now + delay_s
 
+    def update_cold_until(self, *, ramps: bool, now: float) -> None:
+        """Applies a change of one of the two ends of the cold period.
+
+        Args:
+            ramps: whether the attempt limit rises in a ramp after the end.
+            now: current time.
+        """
+        before = self.cold_until
+        self.cold_until = max(self.entry_cold_until, self.health_cold_until)
+        if not ramps or max(before, self.cold_until) <= now:
+            return
+        ramp_starts_at = max(now, self.cold_until)
+        if self.ramp_starts_at not in (None, before):
+            ramp_starts_at = max(ramp_starts_at, self.ramp_starts_at)
+        self.ramp_starts_at = ramp_starts_at
+
+    def is_cold(self, now: float) -> bool:
+        """Returns whether the upstream is cold."""
+        return now < self.cold_until
+
     def record_failure(self, now: float) -> None:
         """Counts a failure as load.
 
@@ -256,6 +296,8 @@
         self.mean_remote_in_flight = 0.0
         self.total_slots = 0
         self._last_pause_ends_at = float("-inf")
+        self._last_cold_ends_at = float("-inf")
+        self._evacuated_zones: frozenset[str] = frozenset()
         # Reports in the order in which they arrived, with their times.
         self._recent: collections.deque[tuple[float, UpstreamLoad]] = (
             collections.deque(maxlen=_MAX_RECENT_REPORTS)
@@ -306,6 +348,7 @@
             record.upstream = upstream
             record.slots = max(1, upstream.slots)
             record.listed = True
+            self._set_evacuated(record, now)
         for upstream_id, record in list(self._records.items()):
             if not record.listed and upstream_id in was_listed:
                 # Moves it to the end, so that the records of removed upstreams
@@ -314,6 +357,67 @@
         self._forget_unlisted()
         self._refresh_eligible()
 
+    def set_evacuated_zones(self, zones: frozenset[str], now: float) -> None:
+        """Sets the zones whose upstreams get nothing more.
+
+        When a zone returns, the attempt limits of its upstreams rise in a
+        ramp.
+        """
+        self._evacuated_zones = zones
+        for record in self._records.values():
+            self._set_evacuated(record, now)
+        self._refresh_eligible()
+
+    def _set_evacuated(self, record: UpstreamLoad, now: float) -> None:
+        evacuated = record.upstream.availability_zone in self._evacuated_zones
+        if record.evacuated and not evacuated:
+            record.ramp_starts_at = max(now, record.ramp_starts_at or now)
+        record.evacuated = evacuated
+
+    def set_cold_until(
+        self, cold_until: Mapping[str, float], *, ramps: bool, now: float
+    ) -> None:
+        """Sets the ends of cold periods that entries state, by upstream.
+
+        `ramps` is as in `UpstreamLoad.update_cold_until`.
+        """
+        for upstream_id, until in cold_until.items():
+            record = self._records.get(upstream_id)
+            if record is not None and record.entry_cold_until != until:
+                record.entry_cold_until = until
+                record.update_cold_until(ramps=ramps, now=now)
+                self._last_cold_ends_at = max(self._last_cold_ends_at, until)
+
+    def apply_cold_notice(
+        self,
+        upstream: upstreams.Upstream,
+        cold_s: float,
+        *,
+        ramps: bool,
+        now: float,
+    ) -> None:
+        """Sets the end of a cold period that a health response states.
+
+        A notice of an earlier process with the same id is ignored. `ramps` is
+        as in `UpstreamLoad.update_cold_until`.
+        """
+        record = self._records.get(upstream.upstream_id)
+        if record is None or record.upstream.started_ms != upstream.started_ms:
+            return
+        until = record.health_cold_until = now + cold_s
+        record.update_cold_until(ramps=ramps, now=now)
+        self._last_cold_ends_at = max(self._last_cold_ends_at, until)
+
+    def has_cold(self, now: float) -> bool:
+        """Returns whether an eligible upstream is cold."""
+        if now >= self._last_cold_ends_at:
+            return False
+        return any(r.is_cold(now) for r in self.eligible)
+
+    def cold_count(self, now: float) -> int:
+        """Returns the number of eligible upstreams that are cold."""
+        return sum(r.is_cold(now) for r in self.eligible)
+
     def mark_draining(self, upstream_id: str) -> None:
         """Excludes the upstream from new calls."""
         record = self._records.get(upstream_id)
@@ -337,7 +441,7 @@
             return
         if notice.pause_s is not None:
             record.paused_until = max(record.paused_until, now + notice.pause_s)
-            record.ramp_starts_at = record.paused_until
+            record.ramp_starts_at = max(record.paused_until, record.cold_until)
             self._last_pause_ends_at = max(
                 self._last_pause_ends_at, record.paused_until
             )
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -1,6 +1,6 @@
 """The edge: routes callers' requests by the configuration in a store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import dataclasses
 import functools
 import logging
@@ -11,10 +11,12 @@
 import prometheus_client
 
 from tanagerspoke import exceptions
+from tanagerspoke.coordination import dispatch_gate
 from tanagerspoke.coordination import lifecycle
 from tanagerspoke.coordination import probe_rounds
 from tanagerspoke.coordination import retry_budget
 from tanagerspoke.coordination import route_scheduling
+from tanagerspoke.coordination.cold_upstreams import cold_gate
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import routing
@@ -109,7 +111,10 @@
             burst=_CONFIG_PROBLEM_LOG_BURST_LINES,
         )
         self._upstreams: dict[str, tuple[upstreams.Upstream, ...]] = {}
+        self._cold_until: Mapping[str, float] = {}
+        self._evacuated_zones: frozenset[str] = frozenset()
         self._has_upstream_list = False
+        self._node_names: frozenset[str] | None = None
         self._node_count: int | None = None
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
         self._dispatchers: dict[str, dispatcher.ServiceDispatcher] = {}
@@ -124,7 +129,8 @@
             source=adapter.store,
             on_routing=self._apply_routing_table,
             on_upstreams=self._set_upstreams,
-            on_nodes=self._set_node_count,
+            on_nodes=self._set_nodes,
+            on_zones=self._set_evacuated_zones,
             on_store_call=self._metrics.count_store_call,
             on_unreadable_row=self._metrics.unreadable_rows.inc,
         )
@@ -288,7 +294,12 @@
                     },
                 )
 
-    def _set_upstreams(self, listed: tuple[upstreams.Upstream, ...]) -> None:
+    def _set_upstreams(
+        self,
+        listed: tuple[upstreams.Upstream, ...],
+        cold_until: Mapping[str, float],
+    ) -> None:
+        self._cold_until = cold_until
         before = self._upstreams
         self._upstreams = upstreams.group_by_service(listed)
         self._has_upstream_list = True
@@ -299,7 +310,15 @@
                 self._upstreams.get(service, ()),
             )
         for service, service_dispatcher in self._dispatchers.items():
-            service_dispatcher.set_upstreams(self._upstreams.get(service, ()))
+            service_dispatcher.set_upstreams(
+                self._upstreams.get(service, ()), cold_until
+            )
+
+    def _set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        self._evacuated_zones = zones
+        self._metrics.evacuated_zones.set(len(zones))
+        for service_dispatcher in self._dispatchers.values():
+            service_dispatcher.set_evacuated_zones(zones)
 
     def _log_upstream_changes(
         self,
@@ -339,6 +358,12 @@
                 },
             )
 
+    def _set_nodes(self, nodes: tuple[zone_feed.Node, ...] | None) -> None:
+        self._node_names = (
+            None if nodes is None else frozenset(node.name for node in nodes)
+        )
+        self._set_node_count(None if nodes is None else len(nodes))
+
     def _set_node_count(self, nodes: int | None) -> None:
         if nodes == self._node_count:
             return
@@ -370,6 +395,12 @@
             rng=self._rng,
             nodes=self._node_count or 1,
             node=self._cfg.node,
+            gate=dispatch_gate.CombinedGate(
+                parts=self._cold_gates(
+                    service, lambda *args: scheduler.is_cold(*args)
+                )
+            ),
+            limits_cold=lambda: self._cold_calls_per_s(service) > 0.0,
         )
         created = dispatcher.ServiceDispatcher(
             scheduler=scheduler,
@@ -388,11 +419,38 @@
             in_flight=lambda: created.in_flight,
             queue_length=lambda: scheduler.queue_length,
             retry_budget_left=lambda: budget.remaining(time.monotonic()),
+            cold_upstreams=lambda: scheduler.cold_count(time.monotonic()),
+        )
+        created.set_evacuated_zones(self._evacuated_zones)
+        created.set_upstreams(
+            self._upstreams.get(service, ()), self._cold_until
         )
-        created.set_upstreams(self._upstreams.get(service, ()))
         self._dispatchers[service] = created
         return created
 
+    def _cold_gates(
+        self,
+        service: str,
+        is_cold: Callable[[upstreams.Upstream, float], bool],
+    ) -> tuple[dispatch_gate.DispatchGate, ...]:
+        """Returns the parts of a service's gate that limit cold upstreams."""
+        if self._cfg.cold_upstreams is None:
+            return ()
+        return (
+            cold_gate.ColdUpstreamGate(
+                node=self._cfg.node,
+                nodes=lambda: self._node_names,
+                calls_per_s=functools.partial(self._cold_calls_per_s, service),
+                is_cold=is_cold,
+            ),
+        )
+
+    def _cold_calls_per_s(self, service: str) -> float:
+        if self._cfg.cold_upstreams is None or self._routes.table is None:
+            return 0.0
+        declared = self._routes.table.services.get(service)
+        return declared.cold_calls_per_s if declared is not None else 0.0
+
     def _health_path(self, service: str) -> str:
         declared = self._routes.table.services.get(service)
         return declared.health_path if declared is not None else "/"
--- a/tanagerspoke/transport/operations/edge_metrics.py
+++ b/tanagerspoke/transport/operations/edge_metrics.py
@@ -177,6 +177,15 @@
             "tanagerspoke_edge_unusable_routes",
             "Routes of the configuration in force whose calls are refused",
         )
+        self._cold_upstreams = gauge(
+            "tanagerspoke_edge_cold_upstreams",
+            "Upstreams that are cold and may get calls",
+            ("service",),
+        )
+        self.evacuated_zones = gauge(
+            "tanagerspoke_edge_evacuated_zones",
+            "Availability zones to whose upstreams nothing is sent",
+        )
         self.config_version = gauge(
             "tanagerspoke_edge_config_version",
             "Version of the configuration in force",
@@ -189,6 +198,7 @@
         in_flight: Callable[[], int],
         queue_length: Callable[[], int],
         retry_budget_left: Callable[[], float],
+        cold_upstreams: Callable[[], int],
     ) -> None:
         """Registers functions that supply the gauges of a service.
 
@@ -197,6 +207,7 @@
         self._in_flight.labels(service).set_function(in_flight)
         self._queue_length.labels(service).set_function(queue_length)
         self._retry_budget_left.labels(service).set_function(retry_budget_left)
+        self._cold_upstreams.labels(service).set_function(cold_upstreams)
 
     def watch_control_bytes(
         self, *, kind: str, read_total: Callable[[], int]
--- a/tanagerspoke/transport/peers/zone_feed_client.py
+++ b/tanagerspoke/transport/peers/zone_feed_client.py
@@ -19,6 +19,7 @@
 # Transferring a complete state takes 0.2 s on a link of 5 Mbit/s.
 _STATE_TIMEOUT_S = 1.0
 _REPORT_TIMEOUT_S = 1.0
+_ZONES_TIMEOUT_S = 0.5
 # Time without an update after which a node counts as unreachable. By then two
 # keepalives are missing.
 UPDATE_TIMEOUT_S = 2.5 * zone_feed_server.KEEPALIVE_INTERVAL_S
@@ -109,9 +110,25 @@
             FeedUnavailableError: the node gives no valid reply.
         """
         url = f"http://{peer.address}:{peer.port}{zone_feed_codec.STATE_PATH}"
+        return await self._fetch(url, timeout_s=_STATE_TIMEOUT_S)
+
+    async def fetch_zones(
+        self, node: zone_feed.Node
+    ) -> list[zone_feed.ZoneUpdate]:
+        """Returns the evacuated zones that a node knows.
+
+        Raises:
+            FeedUnavailableError: the node gives no valid reply.
+        """
+        url = f"http://{node.address}:{node.port}{zone_feed_codec.ZONES_PATH}"
+        return await self._fetch(url, timeout_s=_ZONES_TIMEOUT_S)
+
+    async def _fetch(
+        self, url: str, *, timeout_s: float
+    ) -> list[zone_feed.ZoneUpdate]:
         try:
             async with (
-                asyncio.timeout(_STATE_TIMEOUT_S),
+                asyncio.timeout(timeout_s),
                 self._session.get(url) as resp,
             ):
                 return [update async for update in self._read_updates(resp)]
@@ -121,7 +138,7 @@
             OSError,
             exceptions.ProtocolError,
         ) as exc:
-            raise FeedUnavailableError(f"cannot fetch state: {exc!r}") from exc
+            raise FeedUnavailableError(f"cannot fetch {url}: {exc!r}") from exc
 
     async def report(
         self, *, node: zone_feed.Node, update: zone_feed.LeavingUpdate
--- a/tanagerspoke/transport/peers/zone_feed_codec.py
+++ b/tanagerspoke/transport/peers/zone_feed_codec.py
@@ -18,6 +18,8 @@
 # Path of a node's state. Unlike the feed, it ends after the last update and is
 # also served by a node whose state is out of date.
 STATE_PATH = "/state"
+# Path of the evacuated zones alone, which a node without the store asks for.
+ZONES_PATH = "/zones"
 # Path to which a follower sends what it has learned from its own calls.
 REPORT_PATH = "/report"
 MAX_REPORT_BYTES = 65_536
--- a/tanagerspoke/transport/peers/zone_feed_server.py
+++ b/tanagerspoke/transport/peers/zone_feed_server.py
@@ -39,6 +39,7 @@
         state_updates: Callable[[], list[zone_feed.ZoneUpdate]],
         is_current: Callable[[reader_choice.FeedLevel], bool],
         on_report: Callable[[zone_feed.LeavingUpdate], object],
+        zones_updates: Callable[[], list[zone_feed.ZoneUpdate]],
     ) -> None:
         """Creates a server that is not started.
 
@@ -51,12 +52,14 @@
             is_current: returns whether this node may serve a level now, and
                 its state is as recent as the store's replies.
             on_report: called with what a follower has learned from its calls.
+            zones_updates: returns the evacuated zones that this node knows.
         """
         self._listen = listen
         self._initial_updates = initial_updates
         self._state_updates = state_updates
         self._is_current = is_current
         self._on_report = on_report
+        self._zones_updates = zones_updates
         self._follower_queues: set[asyncio.Queue[bytes]] = set()
         self._stream_tasks: set[asyncio.Task[None]] = set()
         self._runner: web.AppRunner | None = None
@@ -67,6 +70,7 @@
         app = web.Application(client_max_size=zone_feed_codec.MAX_REPORT_BYTES)
         app.router.add_get(zone_feed_codec.FEED_PATH, self._serve_feed)
         app.router.add_get(zone_feed_codec.STATE_PATH, self._serve_state)
+        app.router.add_get(zone_feed_codec.ZONES_PATH, self._serve_zones)
         app.router.add_post(zone_feed_codec.REPORT_PATH, self._serve_report)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.0)
         await self._runner.setup()
@@ -129,11 +133,16 @@
 
     async def _serve_state(self, req: web.Request) -> web.Response:
         del req
-        frames = [
-            zone_feed_codec.encode_frame(update)
-            for update in self._state_updates()
-        ]
-        body = b"".join(frames)
+        return self._complete_response(self._state_updates())
+
+    async def _serve_zones(self, req: web.Request) -> web.Response:
+        del req
+        return self._complete_response(self._zones_updates())
+
+    def _complete_response(
+        self, updates: list[zone_feed.ZoneUpdate]
+    ) -> web.Response:
+        body = b"".join(map(zone_feed_codec.encode_frame, updates))
         self.sent_bytes += len(body)
         return web.Response(body=body)
 
--- a/tanagerspoke/transport/peers/zone_feed_service.py
+++ b/tanagerspoke/transport/peers/zone_feed_service.py
@@ -1,7 +1,7 @@
 """Follows the store, or another node's feed of it."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import functools
 import logging
 import time
@@ -15,6 +15,7 @@
 from tanagerspoke.protocol import zone_feed
 from tanagerspoke.settings import edge
 from tanagerspoke.transport.operations import supervision
+from tanagerspoke.transport.peers import evacuation_service
 from tanagerspoke.transport.peers import zone_feed_client
 from tanagerspoke.transport.peers import zone_feed_server
 from tanagerspoke.transport.store import store_follower
@@ -51,8 +52,11 @@
         cfg: edge.Edge,
         source: store_source.StoreSource,
         on_routing: Callable[[routing.RoutingTable], None],
-        on_upstreams: Callable[[tuple[upstreams.Upstream, ...]], None],
-        on_nodes: Callable[[int | None], None],
+        on_upstreams: Callable[
+            [tuple[upstreams.Upstream, ...], Mapping[str, float]], None
+        ],
+        on_nodes: Callable[[tuple[zone_feed.Node, ...] | None], None],
+        on_zones: Callable[[frozenset[str]], None],
         on_store_call: Callable[[str], None] = lambda result: None,
         on_unreadable_row: Callable[[], None] = lambda: None,
     ) -> None:
@@ -62,9 +66,11 @@
             cfg: options of this node.
             source: the platform's store.
             on_routing: called with each newer routing table.
-            on_upstreams: called with all upstreams when they changed.
-            on_nodes: called with the number of nodes when the list changed,
-                None while this node is not listed.
+            on_upstreams: called with all upstreams, and with the monotonic time
+                at which each cold one stops being cold, when they changed.
+            on_nodes: called with the listed nodes when they changed, None while
+                this node is not listed.
+            on_zones: called with all evacuated zones when they changed.
             on_store_call: called with the result of each store call: `ok`,
                 `failed` or `history_lost`.
             on_unreadable_row: called for each row of the store that holds no
@@ -89,6 +95,7 @@
             source=source,
             listing=self._listing,
             on_routing=self._apply_routing,
+            on_zones=lambda *args: self._evacuation.apply_change(*args),
             on_upstreams=self._publish_upstreams,
             on_nodes=self._apply_nodes,
             on_store_call=on_store_call,
@@ -100,6 +107,16 @@
             state_updates=self._state_updates,
             is_current=self._is_current,
             on_report=self._spread_leaving,
+            zones_updates=lambda: self._evacuation.updates,
+        )
+        self._evacuation = evacuation_service.EvacuationService(
+            client=self._client,
+            publish=self._server.publish,
+            on_zones=on_zones,
+            is_cut_off=lambda: self._store_follower.is_cut_off,
+            other_nodes=lambda: tuple(
+                node for node in self._nodes if node.name != cfg.node
+            ),
         )
         self._followed_node: zone_feed.Node | None = None
         # Time until which this node relays the feed of the fleet's reader; see
@@ -172,13 +189,14 @@
         if not news:
             return False
         self._server.publish(zone_feed.LeavingUpdate(upstreams=news))
-        self._on_upstreams(self._listing.upstreams)
+        self._pass_on_upstreams()
         return True
 
     async def on_start(self) -> None:
         """Opens the peer port and the connections to the store."""
         await self._client.start()
         await self._server.start()
+        await self.add_runtime_dependency(self._evacuation)
         await self.add_runtime_dependency(self._store_follower)
 
     async def on_stop(self) -> None:
@@ -306,7 +324,7 @@
             case zone_feed.UpstreamsUpdate(entries=entries, position=position):
                 is_first = self._listing.position < 0
                 changed = self._listing.apply_snapshot(
-                    entries, position=position
+                    entries, position=position, now=time.monotonic()
                 )
                 if changed or is_first:
                     self._publish_upstreams()
@@ -314,13 +332,11 @@
                 self._apply_leaving(update)
             case zone_feed.NodesUpdate(nodes=nodes):
                 self._apply_nodes(nodes)
+            case zone_feed.ZonesUpdate():
+                self._evacuation.apply_update(update)
 
     def _initial_updates(self) -> list[zone_feed.ZoneUpdate]:
-        updates: list[zone_feed.ZoneUpdate] = []
-        if self._nodes:
-            updates.append(zone_feed.NodesUpdate(nodes=self._nodes))
-        if self._table is not None:
-            updates.append(zone_feed.RoutingUpdate(table=self._table))
+        updates = self._base_updates()
         updates.extend(self._upstreams_updates())
         # The keepalive comes last, because a follower stops reading the store
         # when it receives one.
@@ -328,13 +344,19 @@
         return updates
 
     def _state_updates(self) -> list[zone_feed.ZoneUpdate]:
+        updates = self._base_updates()
+        if self._listing.position >= 0:
+            updates.extend(self._upstreams_updates())
+        return updates
+
+    def _base_updates(self) -> list[zone_feed.ZoneUpdate]:
         updates: list[zone_feed.ZoneUpdate] = []
         if self._nodes:
             updates.append(zone_feed.NodesUpdate(nodes=self._nodes))
+        # Before the routing, with which a node that starts begins to serve.
+        updates.extend(self._evacuation.updates)
         if self._table is not None:
             updates.append(zone_feed.RoutingUpdate(table=self._table))
-        if self._listing.position >= 0:
-            updates.extend(self._upstreams_updates())
         return updates
 
     def _upstreams_updates(self) -> list[zone_feed.ZoneUpdate]:
@@ -348,7 +370,8 @@
 
     def _upstreams_update(self) -> zone_feed.UpstreamsUpdate:
         return zone_feed.UpstreamsUpdate(
-            position=self._listing.position, entries=self._listing.entries
+            position=self._listing.position,
+            entries=self._listing.entries_at(time.monotonic()),
         )
 
     def _apply_routing(self, table: routing.RoutingTable) -> None:
@@ -360,7 +383,10 @@
 
     def _publish_upstreams(self) -> None:
         self._server.publish(self._upstreams_update())
-        self._on_upstreams(self._listing.upstreams)
+        self._pass_on_upstreams()
+
+    def _pass_on_upstreams(self) -> None:
+        self._on_upstreams(self._listing.upstreams, self._listing.cold_until)
 
     def _apply_nodes(self, nodes: tuple[zone_feed.Node, ...]) -> None:
         self._nodes_received.set()
@@ -370,4 +396,4 @@
         self._reader_choice.set_nodes(nodes)
         self._server.publish(zone_feed.NodesUpdate(nodes=nodes))
         listed = any(node.name == self._cfg.node for node in nodes)
-        self._on_nodes(len(nodes) if listed else None)
+        self._on_nodes(nodes if listed else None)
--- a/tanagerspoke/transport/store/store_follower.py
+++ b/tanagerspoke/transport/store/store_follower.py
@@ -13,6 +13,7 @@
 from tanagerspoke.protocol import listing as listing_types
 from tanagerspoke.protocol import routing
 from tanagerspoke.protocol import zone_feed
+from tanagerspoke.protocol import zones as zones_types
 from tanagerspoke.settings import edge
 from tanagerspoke.transport.operations import log_limit
 from tanagerspoke.transport.operations import supervision
@@ -97,6 +98,8 @@
         source: the platform's store.
         listing: updated with each read of upstreams; shared with the owner.
         on_routing: called with each table that is read, older ones included.
+        on_zones: called with the position and each change of evacuated zones
+            that is read.
         on_upstreams: called when the upstreams in use changed, and after the
             first read.
         on_nodes: called with each list of nodes that is read.
@@ -112,6 +115,7 @@
         source: store_source.StoreSource,
         listing: upstream_listing.UpstreamListing,
         on_routing: Callable[[routing.RoutingTable], None],
+        on_zones: Callable[[int, zones_types.ZonesChange], None],
         on_upstreams: Callable[[], None],
         on_nodes: Callable[[tuple[zone_feed.Node, ...]], None],
         on_store_call: Callable[[str], None],
@@ -122,6 +126,7 @@
         self._source = source
         self._listing = listing
         self._on_routing = on_routing
+        self._on_zones = on_zones
         self._on_upstreams = on_upstreams
         self._on_nodes = on_nodes
         self._on_store_call = on_store_call
@@ -151,6 +156,11 @@
         """Whether reading is enabled, that is, not paused."""
         return self._reading_enabled.is_set()
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether reads are enabled and the last call failed."""
+        return self.is_reading and self._health.is_unreachable
+
     @property
     def is_current(self) -> bool:
         """Whether reads are enabled and on time and the last call succeeded."""
@@ -218,6 +228,11 @@
         )
 
     def _apply_routing_change(self, change: routing.RoutingChange) -> None:
+        # First, so that a node that starts sends nothing to evacuated zones.
+        if change.zones is not None:
+            for problem in change.zones.problems:
+                self._report_problem(problem.key, problem.problem)
+            self._on_zones(change.position, change.zones)
         if change.problem is not None:
             self._report_problem("routing", change.problem)
         if change.table is not None:
--- a/tanagerspoke/transport/store/store_source.py
+++ b/tanagerspoke/transport/store/store_source.py
@@ -26,14 +26,15 @@
         """Closes all connections."""
 
     async def read_routing(self) -> routing.RoutingChange:
-        """Returns the newest routing configuration."""
+        """Returns the newest routing configuration and evacuated zones."""
 
     async def wait_for_routing_change(
         self, *, position: int, wait_s: float
     ) -> routing.RoutingChange:
         """Waits up to `wait_s` for a change after the position.
 
-        The returned change has no table if nothing changed.
+        The returned change has no table if the table did not change, and no
+        zones if no evacuation changed.
         """
 
     async def read_upstreams(
--- a/tanagerspoke/transport/upstreams/dispatcher.py
+++ b/tanagerspoke/transport/upstreams/dispatcher.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import dataclasses
 import functools
 import logging
@@ -232,11 +232,27 @@
         self._scheduler.set_gateways(gateways)
 
     def set_upstreams(
-        self, service_upstreams: tuple[upstreams.Upstream, ...]
+        self,
+        service_upstreams: tuple[upstreams.Upstream, ...],
+        cold_until: Mapping[str, float] | None = None,
     ) -> None:
-        """Replaces the list of the service's upstreams."""
+        """Replaces the list of the service's upstreams.
+
+        Args:
+            service_upstreams: all upstreams of the service.
+            cold_until: ends of the cold periods that entries state, by
+                upstream, in seconds of the clock.
+        """
         self._upstreams = {u.upstream_id: u for u in service_upstreams}
-        self.handle(calls.UpstreamsChanged(upstreams=service_upstreams))
+        self.handle(
+            calls.UpstreamsChanged(
+                upstreams=service_upstreams, cold_until=cold_until or {}
+            )
+        )
+
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Sets the zones whose upstreams get nothing more."""
+        self.handle(calls.ZonesEvacuated(zones=zones))
 
     def handle(self, event: calls.SchedulerEvent) -> None:
         """Passes an event to the scheduler and executes the actions.
--- a/tanagerspoke/transport/upstreams/upstream_client.py
+++ b/tanagerspoke/transport/upstreams/upstream_client.py
@@ -258,7 +258,7 @@
         A long response may be passed on for a long time after its head.
         """
         self._notice_read = True
-        notice = self.dialect.notice(head)
+        notice = self.dialect.notice(head=head, request=self.request)
         self._has_notice = notice is not None
         if notice is not None:
             self._on_notice(notice)
--- a/tanagerspoke/transport/upstreams/upstream_dialect.py
+++ b/tanagerspoke/transport/upstreams/upstream_dialect.py
@@ -121,7 +121,7 @@
         """
 
     def notice(
-        self, head: aiohttp_http.RawResponseMessage
+        self, *, head: aiohttp_http.RawResponseMessage, request: UpstreamRequest
     ) -> upstreams.Notice | None:
         """Returns what the upstream states about further calls, or None."""
 
@@ -195,10 +195,10 @@
         return headers.parse_load(head.headers.get(headers.LOAD))
 
     def notice(
-        self, head: aiohttp_http.RawResponseMessage
+        self, *, head: aiohttp_http.RawResponseMessage, request: UpstreamRequest
     ) -> upstreams.Notice | None:
         """Implements `UpstreamDialect`; leaving is part of the load report."""
-        del head
+        del head, request
         return None
 
 
--- a/tests/coordination/test_upstream_listing.py
+++ b/tests/coordination/test_upstream_listing.py
@@ -102,7 +102,7 @@
     upstream_list.apply_changes(_removal(3), 2.0)
     upstream_list.apply_changes(_changes(4, _entry(sequence=12)), 3.0)
     assert upstream_list.upstreams[0].leaving
-    upstream_list.apply_snapshot((_entry(sequence=14),), position=5)
+    upstream_list.apply_snapshot((_entry(sequence=14),), position=5, now=0.0)
     assert upstream_list.upstreams[0].leaving
     upstream_list.apply_changes(
         _changes(6, _entry(sequence=1, started_ms=200)), 4.0
@@ -205,10 +205,10 @@
     upstream_list.apply_changes(_changes(1, _entry(), _entry("u2")), 0.0)
     upstream_list.apply_changes(_removal(5), 1.0)
     assert not upstream_list.apply_snapshot(
-        (_entry(), _entry("u2")), position=4
+        (_entry(), _entry("u2")), position=4, now=0.0
     )
     assert _names(upstream_list) == {"u2"}
-    assert upstream_list.apply_snapshot((_entry("u3"),), position=6)
+    assert upstream_list.apply_snapshot((_entry("u3"),), position=6, now=0.0)
     assert _names(upstream_list) == {"u3"}
 
 
@@ -238,7 +238,7 @@
         newest[name] = max(newest.get(name, key), key)
     active = {
         e.upstream.upstream_id: (e.upstream.started_ms, e.sequence)
-        for e in upstream_list.entries
+        for e in upstream_list.entries_at(0.0)
     }
     assert active == newest
 
--- a/tests/platform/test_adapter_boundaries.py
+++ b/tests/platform/test_adapter_boundaries.py
@@ -27,6 +27,8 @@
             "traffic_split",
             "seq_no",
             "cold_left_s",
+            "X-Cold-Ms",
+            "evacuate/",
             "max_conns",
         )
     )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -162,7 +162,7 @@
     def entries(self) -> dict[str, int]:
         return {
             entry.upstream.upstream_id: entry.sequence
-            for entry in self.listing.entries
+            for entry in self.listing.entries_at(0.0)
         }
 
 
@@ -198,7 +198,7 @@
         sender = self.nodes[1 - number].listing
         if sender.position >= 0:
             self.nodes[number].listing.apply_snapshot(
-                sender.entries, position=sender.position
+                sender.entries_at(0.0), position=sender.position, now=0.0
             )
 
     @stateful.rule()
--- a/tests/standins/test_routed_worker.py
+++ b/tests/standins/test_routed_worker.py
@@ -199,3 +199,26 @@
     await stack.wait_until(expired, "the entry to expire")
     stand_ins.store.faults = faults.StoreFaults()
     await stand_ins.wait_until_listed(["w1"])
+
+
+async def test_cold_worker_states_its_time(
+    stand_ins: _StoreAndWorker,
+) -> None:
+    """Guards against a cold worker that the edge can't recognise."""
+    async with stand_ins.session.put(
+        "/control/cold", json={"for_s": 30.0}
+    ) as resp:
+        assert resp.status == 204
+    async with stand_ins.session.get(routed_worker.HEALTH_PATH) as resp:
+        assert 25_000 < int(resp.headers[headers.COLD_MS]) <= 30_000
+    row = (wire.WORKERS_TABLE, "w1")
+
+    async def is_listed_as_cold() -> bool:
+        entry = manifest.decode_worker(
+            worker_id="w1",
+            value=stand_ins.store._rows[row].value,
+            services=None,
+        )
+        return 25.0 < entry.remaining_cold_s <= 30.0
+
+    await stack.wait_until(is_listed_as_cold, "a cold entry")
--- a/tests/transport/edge_stack.py
+++ b/tests/transport/edge_stack.py
@@ -195,7 +195,7 @@
     @contextlib.asynccontextmanager
     async def add_node(self, **changes: Any) -> AsyncIterator["EdgeStack"]:
         """Yields a stack whose only node is an additional one."""
-        cfg = _cfg(self.store, self.store_endpoint, len(self.cfgs), **changes)
+        cfg = _cfg(self.store_endpoint, len(self.cfgs), **changes)
         service = edge_service.EdgeService(
             cfg=cfg, adapter=adapter.make(cfg), load_settings=lambda: cfg
         )
@@ -216,12 +216,10 @@
 
 
 def _cfg(
-    store: metadata_store.MetadataStoreStandin,
     store_endpoint: options.Endpoint,
     node_number: int,
     **changes: Any,
 ) -> edge.Edge:
-    del store
     fields = dict(
         node=f"n{node_number}",
         availability_zone="a",
@@ -278,7 +276,6 @@
         )
         cfgs = tuple(
             _cfg(
-                store,
                 store_endpoint,
                 n,
                 availability_zone=zones[n % len(zones)],
