--- a/tanagerspoke/coordination/cold_upstreams/cold_gate.py
+++ b/tanagerspoke/coordination/cold_upstreams/cold_gate.py
@@ -73,10 +73,11 @@
 
     def admits(self, upstream: upstreams.Upstream, now: float) -> bool:
         """Implements `DispatchGate`."""
-        rate_per_s = self._calls_per_s()
-        if rate_per_s <= 0.0 or not self._is_cold(upstream, now):
+        # First, since nearly all upstreams are not cold.
+        if not self._is_cold(upstream, now):
             return True
-        return (
+        rate_per_s = self._calls_per_s()
+        return rate_per_s <= 0.0 or (
             self._is_among_first(upstream.upstream_id)
             and self._refilled(upstream.upstream_id, rate_per_s, now).count
             >= 1.0
@@ -84,8 +85,10 @@
 
     def record_dispatch(self, upstream: upstreams.Upstream, now: float) -> None:
         """Implements `DispatchGate`."""
+        if not self._is_cold(upstream, now):
+            return
         rate_per_s = self._calls_per_s()
-        if rate_per_s <= 0.0 or not self._is_cold(upstream, now):
+        if rate_per_s <= 0.0:
             return
         if len(self._tokens) >= _MAX_KEPT:
             self._drop_full(rate_per_s, now)
