--- a/tanagerspoke/transport/peers/zone_feed_server.py
+++ b/tanagerspoke/transport/peers/zone_feed_server.py
@@ -41,6 +41,7 @@
         is_current: Callable[[reader_choice.FeedLevel], bool],
         on_report: Callable[[zone_feed.LeavingUpdate], object],
         freshness_reply: Callable[[], freshness.FreshnessReply],
+        zones_updates: Callable[[], list[zone_feed.ZoneUpdate]],
     ) -> None:
         """Creates a server that is not started.
 
@@ -55,6 +56,7 @@
             on_report: called with what a follower has learned from its calls.
             freshness_reply: returns the reply to a query for freshness, also
                 while this node is not current.
+            zones_updates: returns the evacuated zones that this node knows.
         """
         self._listen = listen
         self._initial_updates = initial_updates
@@ -62,6 +64,7 @@
         self._is_current = is_current
         self._on_report = on_report
         self._freshness_reply = freshness_reply
+        self._zones_updates = zones_updates
         self._follower_queues: set[asyncio.Queue[bytes]] = set()
         self._stream_tasks: set[asyncio.Task[None]] = set()
         self._runner: web.AppRunner | None = None
@@ -75,6 +78,7 @@
         app.router.add_get(
             zone_feed_codec.FRESHNESS_PATH, self._serve_freshness
         )
+        app.router.add_get(zone_feed_codec.ZONES_PATH, self._serve_zones)
         app.router.add_post(zone_feed_codec.REPORT_PATH, self._serve_report)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.0)
         await self._runner.setup()
@@ -137,11 +141,16 @@
 
     async def _serve_state(self, req: web.Request) -> web.Response:
         del req
-        frames = [
-            zone_feed_codec.encode_frame(update)
-            for update in self._state_updates()
-        ]
-        body = b"".join(frames)
+        return self._complete_response(self._state_updates())
+
+    async def _serve_zones(self, req: web.Request) -> web.Response:
+        del req
+        return self._complete_response(self._zones_updates())
+
+    def _complete_response(
+        self, updates: list[zone_feed.ZoneUpdate]
+    ) -> web.Response:
+        body = b"".join(map(zone_feed_codec.encode_frame, updates))
         self.sent_bytes += len(body)
         return web.Response(body=body)
 
--- a/tests/transport/test_freshness.py
+++ b/tests/transport/test_freshness.py
@@ -107,6 +107,7 @@
         listing=upstream_listing.UpstreamListing(),
         proofs=proofs,
         on_routing=lambda table: None,
+        on_zones=lambda position, change: None,
         on_upstreams=lambda: None,
         on_nodes=lambda nodes: None,
         on_store_call=lambda result: None,
@@ -176,6 +177,7 @@
         is_current=lambda level: False,
         on_report=lambda update: None,
         freshness_reply=reply_now,
+        zones_updates=lambda: [],
     )
     await server.start()
     try:
