Count the time that returning callers have waited against their target

Cause: a caller that was refused returns with a new request and less time left. It was taken for one that can still meet its target, so under overload, where most requests are such returns, it took slots from calls that could. Ruled out: the order of the queue alone (late calls go last already, but these did not count as late). Change: the longest deadline that many calls of a route send shows how long a caller with a shorter one has waited; its target is earlier by this time. Where deadlines differ for other reasons, nothing changes.

--- a/tanagerspoke/coordination/probe_rounds.py
+++ b/tanagerspoke/coordination/probe_rounds.py
@@ -76,7 +76,7 @@
         """
         if self._refilled_at is None or self._is_in_round(now):
             return False
-        refill = (until - self._refilled_at) * self._rate_per_s
+        refill = (max(now, until) - self._refilled_at) * self._rate_per_s
         return self._tokens + refill < 1.0
 
     def record_report(self, now: float) -> None:
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -258,7 +258,7 @@
         target_at = call.target_at or call.deadline
         latest_start_at = self._refusals.latest_start_at(call)
         expected_s = target_at - latest_start_at
-        late_wait_s = _MAX_LATE_WAIT_SHARE * (target_at - call.arrived_at)
+        late_wait_s = _MAX_LATE_WAIT_SHARE * call.target_latency_s
         self._queue.push(
             target_queue.QueuedCall(
                 call=call,
--- a/tanagerspoke/coordination/route_statistics.py
+++ b/tanagerspoke/coordination/route_statistics.py
@@ -47,9 +47,8 @@
 
         Until the route has enough samples, it is derived from the target.
         """
-        target_at = call.target_at or call.deadline
         return self._durations_for(call).quantile_s(
-            quantile, target_s=target_at - call.arrived_at
+            quantile, target_s=call.target_latency_s
         )
 
     def may_use_last_slot(self, draw: float) -> bool:
--- a/tanagerspoke/protocol/calls.py
+++ b/tanagerspoke/protocol/calls.py
@@ -38,6 +38,8 @@
         priority: rank of the call; 0 is served first.
         stops_at: time by which this process must have the response, since it
             is stopping; None if it is not.
+        waited_s: time that the caller has waited for responses to earlier
+            requests; `target_at` is earlier by this time.
         account_priority: rank of the client account, which precedes
             `priority`.
         key_digest: digest of the API key that the call was sent with, None if
@@ -57,9 +59,16 @@
     max_attempts: int = 3
     priority: int = 0
     stops_at: float | None = None
+    waited_s: float = 0.0
     account_priority: int = 0
     key_digest: str | None = None
 
+    @property
+    def target_latency_s(self) -> float:
+        """Time from the caller's first request to its target."""
+        target_at = self.target_at or self.deadline
+        return target_at - self.arrived_at + self.waited_s
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Answered:
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -11,6 +11,7 @@
 import prometheus_client
 
 from tanagerspoke import exceptions
+from tanagerspoke.coordination import caller_waits
 from tanagerspoke.coordination import dispatch_gate
 from tanagerspoke.coordination import lifecycle
 from tanagerspoke.coordination import probe_rounds
@@ -109,6 +110,7 @@
         self._rng = random.Random()
         self._started_at = time.monotonic()
         self._routes = routes.RouteState(rng=self._rng)
+        self._caller_waits = caller_waits.CallerWaits()
         self._limits = _INITIAL_LIMITS
         self._settings_error = ""
         self._config_problem_log_limit = log_limit.LogLimit(
@@ -309,6 +311,9 @@
     def _apply_routing_table(self, table: routing.RoutingTable) -> None:
         if not self._routes.apply(table):
             return
+        self._caller_waits.keep_only(
+            frozenset(route.name for route in table.routes)
+        )
         self._keys.apply(table)
         self._freshness_queries.notify_accounts()
         if self._usage is not None:
@@ -581,6 +586,9 @@
         if stops_at is not None:
             stops_at -= _LAST_RESPONSE_RESERVE_S
             record.deadline = min(record.deadline, stops_at)
+        waited_s = self._caller_waits.waited_s(
+            route=route.name, deadline_s=request.deadline_s
+        )
         call = calls.Call(
             call_id=record.call_id,
             client_account=record.client_account,
@@ -590,7 +598,8 @@
             deadline=record.deadline,
             hedge=route.idempotent,
             route=route.name,
-            target_at=record.started_at + route.target_latency_s,
+            target_at=record.started_at + route.target_latency_s - waited_s,
+            waited_s=waited_s,
             max_attempts=route.max_attempts,
             priority=route.priority,
             stops_at=stops_at,
