Use both slots of upstreams that have two

Cause: all calls left the last slot of an upstream free where saturation costs a slowdown of 1.3 or more. A late call needed a share of the slots (0.4) below that of a single call, so an idle upstream never got one. Ruled out: usage limits and cold upstreams (the same calls were refused before them). Change: the slowdown from which the last slot is left free is n / (n - 1) for fewer than three slots; an idle upstream may always get a call.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -69,6 +69,8 @@
 
     Attributes:
         slow_factor: multiplies the service time of attempts that start.
+        full_slow_factor: multiplies it as well for those that take the last
+            slot.
         fail_fast: responds with 500 after a short delay and uses no slot.
         crashed: refuses connections.
         frozen: attempts that start never finish, and probes get no response.
@@ -89,6 +91,7 @@
     ) -> None:
         self.upstream = upstream
         self.slow_factor = 1.0
+        self.full_slow_factor = 1.0
         self.fail_fast = False
         self.crashed = False
         self.frozen = False
@@ -167,9 +170,10 @@
             job = self._queue.popleft()
             self._running.add(job)
             if not self.frozen:
-                finish_at = (
-                    self._clock.now + job.service_time_s * self.slow_factor
-                )
+                service_time_s = job.service_time_s * self.slow_factor
+                if len(self._running) == self.upstream.slots:
+                    service_time_s *= self.full_slow_factor
+                finish_at = self._clock.now + service_time_s
                 self._clock.schedule(finish_at, self._finish, job)
 
     def _finish(self, job: Job) -> None:
--- a/tanagerspoke/coordination/balancing.py
+++ b/tanagerspoke/coordination/balancing.py
@@ -76,7 +76,8 @@
                 slots.
             need_free_slot: leaves out upstreams without a free slot.
             max_utilization: largest share of an upstream's slots in use, this
-                call included.
+                call included; an idle upstream may always get it, also one
+                with so few slots that a single call exceeds the share.
             utilization_weight: weight of the utilization in an upstream's
                 score; lower where calls in flight are known rather than
                 estimated.
@@ -115,9 +116,8 @@
                 )
             ):
                 continue
-            if (
-                max_utilization is not None
-                and utilization + 1.0 / slots > max_utilization
+            if max_utilization is not None and utilization + 1.0 / slots > max(
+                max_utilization, 1.0 / slots
             ):
                 continue
             slowness = record.current_slowness(now)
--- a/tanagerspoke/coordination/route_statistics.py
+++ b/tanagerspoke/coordination/route_statistics.py
@@ -57,7 +57,10 @@
         Args:
             draw: random number in [0, 1).
         """
-        return self._saturation_cost.may_use_last_slot(draw)
+        return self._saturation_cost.may_use_last_slot(
+            slots=self._view.total_slots / max(1, len(self._view.eligible)),
+            draw=draw,
+        )
 
     def add_result(
         self,
--- a/tanagerspoke/coordination/saturation.py
+++ b/tanagerspoke/coordination/saturation.py
@@ -7,8 +7,11 @@
 _SAMPLE_WEIGHT = 0.05
 # Mean slowdown from which saturated upstreams are avoided. An upstream with all
 # of its n slots in use serves fewer calls than with one slot free if the
-# slowdown exceeds n / (n - 1): 1.33 with four slots, 1.5 with three.
+# slowdown exceeds n / (n - 1): 1.33 with four slots, 1.5 with three. With three
+# or more, a free slot is worth more to the calls that must be fast; of two
+# slots, the last one is half of the capacity.
 _MIN_SLOWDOWN_TO_AVOID = 1.3
+_MANY_SLOTS = 3
 # Share of the choices that may still take a last slot, so that the slowdown
 # stays up to date.
 _EXPLORATION_SHARE = 0.1
@@ -28,13 +31,18 @@
         """Mean duration at saturated upstreams, relative to the others."""
         return self._mean_saturated / self._mean_unsaturated
 
-    def may_use_last_slot(self, draw: float) -> bool:
+    def may_use_last_slot(self, *, slots: float, draw: float) -> bool:
         """Returns whether a call may take an upstream's last slot.
 
         Args:
+            slots: mean number of slots of the service's upstreams.
             draw: random number in [0, 1).
         """
-        return self.ratio < _MIN_SLOWDOWN_TO_AVOID or draw < _EXPLORATION_SHARE
+        if slots <= 1.0 or draw < _EXPLORATION_SHARE:
+            return True
+        if slots >= _MANY_SLOTS:
+            return self.ratio < _MIN_SLOWDOWN_TO_AVOID
+        return self.ratio < slots / (slots - 1.0)
 
     def add_sample(self, *, saturated: bool, duration_ratio: float) -> None:
         """Adds an attempt's duration, relative to its route's median."""
--- a/tests/coordination/test_load_patterns.py
+++ b/tests/coordination/test_load_patterns.py
@@ -40,6 +40,7 @@
         upstreams: int = 9,
         seed: int = 1,
         load_report_age_s: float = 0.0,
+        slots: int = 3,
         nodes: int = _NODES,
         probes_per_upstream_s: float = 30.0,
     ) -> None:
@@ -51,7 +52,7 @@
         self._rng = random.Random(seed)
         self._call_ids = 0
         self.durations: dict[int, float] = {}
-        listed = helpers.make_upstreams(upstreams)
+        listed = helpers.make_upstreams(upstreams, slots=slots)
         fakes = {
             upstream.upstream_id: simulation.FakeUpstream(
                 clock=self.clock,
@@ -236,12 +237,29 @@
     slow. Calls waited for probes that were never sent, and were refused.
     """
     fleet = _Fleet(upstreams=4, nodes=120, probes_per_upstream_s=21.0)
-    fleet.fakes[0].slowness = 5.0
+    fleet.fakes[0].slow_factor = 5.0
     fleet.offer(rate_per_s=_rate(0.4, upstreams=4), until_s=20.0)
     records = fleet.run()
     assert _in_time_share(records) > 0.9
 
 
+def test_overload_of_upstreams_with_two_slots() -> None:
+    """Guards against upstreams with two slots that stay half idle.
+
+    Pattern: a burst of 1.3 times what the upstreams can do with one slot in
+    use. The second slot makes a call 1.7 times as long. Most calls left one
+    slot free, and a late call was hardly ever sent, since even a single call
+    uses more than the share that late calls may use.
+    """
+    fleet = _Fleet(upstreams=9, slots=2)
+    for fake in fleet.fakes:
+        fake.full_slow_factor = 1.7
+    one_slot_per_s = 9 / _MEAN_SERVICE_TIME_S
+    fleet.offer(rate_per_s=1.3 * one_slot_per_s, until_s=10.0, idempotent=False)
+    records = fleet.run()
+    assert _in_time_share(records) > 0.89
+
+
 def test_probes_that_are_used_up_while_there_is_room() -> None:
     """Guards against calls that wait for a report that cannot come in time.
 
