Test an edge against clients that send without end or stop before it

Nothing bounds what all of their connections hold together.

EdgeFleet takes the limits as arguments.

--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -51,7 +51,15 @@
     return f"/at-{version}/"
 
 
-def manifest(version: int) -> bytes:
+_LIMITS = wire.Limits(
+    max_header_bytes=8192,
+    max_body_bytes=100_000,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
+
+
+def manifest(version: int, limits: wire.Limits = _LIMITS) -> bytes:
     """Returns an encoded manifest of `ROUTES` and the version's own route."""
     routed_prefixes = {
         prefix: (route[0], route[1]) for prefix, route in ROUTES.items()
@@ -78,12 +86,7 @@
                 service: wire.Service(health_path=routed_worker.HEALTH_PATH)
                 for service, _, _ in ROUTES.values()
             },
-            limits=wire.Limits(
-                max_header_bytes=8192,
-                max_body_bytes=100_000,
-                header_timeout_s=3.0,
-                idle_timeout_s=15.0,
-            ),
+            limits=limits,
         )
     )
 
@@ -166,12 +169,21 @@
         """Returns the path of an edge's settings file."""
         return self._directory / f"{name}.toml"
 
-    def start_edge(self, node: Node, *, store_port: int) -> None:
+    def start_edge(
+        self,
+        node: Node,
+        *,
+        store_port: int,
+        memory_mb: int = 0,
+        max_descriptors: int = 0,
+    ) -> None:
         """Writes the settings of an edge and starts it.
 
         Args:
             node: name, address and ports of the edge.
             store_port: loopback port at which it reaches the store.
+            memory_mb: memory of the process, 0 if the settings name none.
+            max_descriptors: its file descriptors, 0 if the settings name none.
         """
         path = self.settings_path(node.name)
         last_port = node.peers_port + _EXTRA_INTERNAL_PORTS
@@ -187,6 +199,8 @@
 ready = "{node.address}:{node.ready_port}"
 [limits]
 link_mbps = 100.0
+memory_mb = {memory_mb}
+max_fds = {max_descriptors}
 [bounds]
 drain_s = {DRAIN_S}
 grace_s = {GRACE_S}
@@ -272,12 +286,14 @@
         """Makes the store drop its change history."""
         await self._send_control("PUT", "store", "/control/compaction", {})
 
-    async def apply_manifest(self, version: int) -> float:
+    async def apply_manifest(
+        self, version: int, limits: wire.Limits = _LIMITS
+    ) -> float:
         """Writes a manifest; returns the monotonic time of its confirmation."""
         row = wire.TransactionRow(
             table=wire.CONFIG_TABLE,
             key=wire.CONFIG_KEY,
-            value=manifest(version),
+            value=manifest(version, limits),
         )
         message = msgspec.to_builtins(wire.Transaction(set_keys=(row,)))
         await self._send_control(
--- a/tests/processes/raw_workers.py
+++ b/tests/processes/raw_workers.py
@@ -70,6 +70,15 @@
 
 def memory_mb(pid: int) -> float:
     """Returns the resident memory of a process in MB."""
+    return _status_kib(pid, "VmRSS") / 1024
+
+
+def peak_memory_bytes(pid: int) -> int:
+    """Returns the largest resident memory that a process has had so far."""
+    return _status_kib(pid, "VmHWM") * 1024
+
+
+def _status_kib(pid: int, name: str) -> int:
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
-    (line,) = [x for x in status.splitlines() if x.startswith("VmRSS")]
-    return int(line.split()[1]) / 1024
+    (line,) = [x for x in status.splitlines() if x.startswith(name)]
+    return int(line.split()[1])
