Keep an error in one action from ending the others of its turn

Cause: an exception in one action of ServiceDispatcher.handle ended the turn, so the callers of the remaining actions got no answer. A request id that is not valid UTF-8 raised in the JSON error body, in such a turn.

Ruled out: reporting a failed dispatch as NotSent, since such attempts don't count and the call would be sent again until its deadline.

Change: each action runs by itself; its call ends with the error and the scheduler learns that a failed dispatch has ended. An error while a response is written resets that connection. Bytes that are not UTF-8 appear as `?`.

--- a/tanagerspoke/transport/callers/caller_server.py
+++ b/tanagerspoke/transport/callers/caller_server.py
@@ -271,6 +271,20 @@
             ):
                 caller_resp.response.stream.abandon()
             return
+        try:
+            self._write_result(conn, call, caller_resp, exc)
+        except Exception as write_exc:
+            # A part of the response may have been written.
+            self._log_unexpected_error(call.record, write_exc)
+            conn.reset()
+
+    def _write_result(
+        self,
+        conn: caller_connection.CallerConnection,
+        call: _Call,
+        caller_resp: caller_calls.CallerResponse | None,
+        exc: Exception | None,
+    ) -> None:
         if exc is not None:
             self._send_error(conn, call, exc)
         elif caller_resp.response.stream is not None:
--- a/tanagerspoke/transport/callers/error_responses.py
+++ b/tanagerspoke/transport/callers/error_responses.py
@@ -16,19 +16,27 @@
     message: str,
     request_id: str,
 ) -> bytes:
-    """Returns the JSON body of an error response."""
+    """Returns the JSON body of an error response.
+
+    Bytes of the message and the request id that are not valid UTF-8, which
+    aiohttp decodes to surrogates, appear as `?`.
+    """
     return msgspec.json.encode(
         errors.ErrorBody(
             error=errors.ErrorDetail(
                 code=code,
-                message=message,
+                message=_encodable(message),
                 outcome=outcome,
-                request_id=request_id,
+                request_id=_encodable(request_id),
             )
         )
     )
 
 
+def _encodable(text: str) -> str:
+    return text if text.isascii() else text.encode(errors="replace").decode()
+
+
 def error_headers(
     *,
     code: errors.ErrorCode,
--- a/tanagerspoke/transport/upstreams/dispatcher.py
+++ b/tanagerspoke/transport/upstreams/dispatcher.py
@@ -12,6 +12,7 @@
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import upstreams
+from tanagerspoke.transport.operations import log_limit
 from tanagerspoke.transport.upstreams import upstream_client
 from tanagerspoke.transport.upstreams import upstream_dialect
 
@@ -21,6 +22,8 @@
 _RETRY_TICK_S = 0.1
 # A load report that takes longer is out of date when it arrives.
 _PROBE_TIMEOUT_S = 0.1
+_FAILED_ACTION_LOG_LINES_PER_S = 2.0
+_FAILED_ACTION_LOG_BURST_LINES = 20
 
 
 class Scheduler(Protocol):
@@ -145,6 +148,11 @@
             collections.deque()
         )
         self._handling = False
+        self._failed_action_log_limit = log_limit.LogLimit(
+            event="action_failed",
+            rate_per_s=_FAILED_ACTION_LOG_LINES_PER_S,
+            burst=_FAILED_ACTION_LOG_BURST_LINES,
+        )
         self._timer: asyncio.TimerHandle | None = None
         self._wakeup_at: float | None = None
 
@@ -243,7 +251,8 @@
 
         If an action causes another event, that event is queued until all
         actions of the current event are executed, so that actions are executed
-        in the scheduler's order.
+        in the scheduler's order. An error in one action ends its call; the
+        other actions are executed.
         """
         self._events.append(event)
         if self._handling:
@@ -255,7 +264,7 @@
                 for action in self._scheduler.handle(
                     event=self._events.popleft(), now=now
                 ):
-                    self._execute(action, now)
+                    self._execute_isolated(action, now)
         finally:
             self._handling = False
         self._arm_timer()
@@ -320,6 +329,56 @@
             )
         )
 
+    def _execute_isolated(
+        self, action: calls.SchedulerAction, now: float
+    ) -> None:
+        """Executes an action; an unexpected error ends only its own call."""
+        try:
+            self._execute(action, now)
+        except Exception as exc:
+            self._log_failed_action(action, exc)
+            self._fail_call(action, exc)
+
+    def _fail_call(self, action: calls.SchedulerAction, exc: Exception) -> None:
+        if isinstance(action, calls.Probe):
+            self.handle(
+                calls.ProbeEnded(
+                    upstream_id=action.upstream_id, load=None, responded=False
+                )
+            )
+            return
+        if isinstance(action, calls.ReportEjection):
+            return
+        running = self._running.get(action.call_id)
+        if running is None:
+            return
+        try:
+            self._complete(running, None, exc)
+        except Exception as callback_exc:
+            self._log_failed_action(action, callback_exc)
+        self._abandon(running)
+        if (
+            isinstance(action, calls.Dispatch)
+            and action.attempt not in running.exchanges
+        ):
+            # The scheduler counts the attempt as running until it ends.
+            self.handle(
+                calls.AttemptEnded(
+                    call_id=action.call_id,
+                    attempt=action.attempt,
+                    upstream_id=action.upstream_id,
+                    result=calls.Cancelled(),
+                    load=None,
+                )
+            )
+
+    def _log_failed_action(
+        self, action: calls.SchedulerAction, exc: Exception
+    ) -> None:
+        name = type(action).__name__
+        if self._failed_action_log_limit.try_acquire(name):
+            log.error("action_failed", exc_info=exc, extra={"action": name})
+
     def _execute(self, action: calls.SchedulerAction, now: float) -> None:
         if isinstance(action, calls.Probe):
             self._send_probe(action.upstream_id)
