Free a request's body when its attempt ends

Cause: the reader of an idle upstream connection refers to the last exchange, and so to its request and, through its callback, to the call. A body of 60 MB stayed in memory until the next exchange on that connection. Each attempt also copied the body to join it with the head.

Ruled out: cycles between callback and call alone; breaking them lowered the sum but left the last body in memory.

Change: an exchange that has ended drops its body and its callbacks. Bodies above 64 KiB are written after the head, without a copy.

--- a/tanagerspoke/transport/upstreams/upstream_client.py
+++ b/tanagerspoke/transport/upstreams/upstream_client.py
@@ -72,6 +72,10 @@
     response: Response | None = None
 
 
+def _ignore_end(ended: EndedExchange) -> None:
+    del ended
+
+
 class Exchange:
     """A request to an upstream and its response.
 
@@ -173,7 +177,7 @@
     def _send(self, conn: upstream_connection.UpstreamConnection) -> None:
         remaining_s = self.deadline - self._client.now()
         try:
-            data = self._serialize(max(1, int(remaining_s * 1000)))
+            head = self._encode_head(max(1, int(remaining_s * 1000)))
         except exceptions.UpstreamError as exc:
             conn.close()
             # Deferred, since `UpstreamClient.send` may not call `on_ended`
@@ -183,12 +187,13 @@
         self.conn = conn
         conn.send(
             method=self.request.method,
-            data=data,
+            head=head,
+            body=self.request.body,
             request_id=self.request.request_id,
             receiver=self,
         )
 
-    def _serialize(self, remaining_ms: int) -> bytes:
+    def _encode_head(self, remaining_ms: int) -> bytes:
         request = self.request
         lines = self.dialect.request_lines(
             request=request,
@@ -198,7 +203,7 @@
         )
         if request.body or request.method in ("POST", "PUT", "PATCH"):
             lines.append(f"Content-Length: {len(request.body)}")
-        return upstream_dialect.encode_head(lines) + request.body
+        return upstream_dialect.encode_head(lines)
 
     @property
     def dialect(self) -> upstream_dialect.UpstreamDialect:
@@ -398,7 +403,14 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        self._on_ended(ended)
+        on_ended = self._on_ended
+        if self.request.body:
+            # The idle connection refers to this exchange until the next one:
+            # without this, the body would stay in memory until then.
+            self.request = dataclasses.replace(self.request, body=b"")
+            self._on_ended = _ignore_end
+            self._on_started = None
+        on_ended(ended)
 
 
 class UpstreamClient:
--- a/tanagerspoke/transport/upstreams/upstream_connection.py
+++ b/tanagerspoke/transport/upstreams/upstream_connection.py
@@ -13,6 +13,8 @@
 # Requests on a connection after which it is closed, so that the memory for
 # their ids is bounded.
 _MAX_REQUESTS = 512
+# Smaller bodies are sent with the head in one segment.
+_MAX_COPIED_BODY_BYTES = 65_536
 
 
 class Receiver(Protocol):
@@ -111,7 +113,13 @@
         return hash(request_id) in self._sent_id_hashes
 
     def send(
-        self, *, method: str, data: bytes, request_id: str, receiver: Receiver
+        self,
+        *,
+        method: str,
+        head: bytes,
+        body: bytes | memoryview,
+        request_id: str,
+        receiver: Receiver,
     ) -> None:
         """Sends a request whose response is passed to the receiver.
 
@@ -126,7 +134,12 @@
         self.reader.begin(
             method=method, accepts=receiver.accepts if skips else None
         )
-        self.transport.write(data)
+        if len(body) <= _MAX_COPIED_BODY_BYTES:
+            self.transport.write(head + body)
+        else:
+            # Without a copy of the body for each attempt.
+            self.transport.write(head)
+            self.transport.write(body)
 
     def release(self) -> None:
         """Detaches the connection from its exchange."""
--- a/tanagerspoke/transport/upstreams/upstream_dialect.py
+++ b/tanagerspoke/transport/upstreams/upstream_dialect.py
@@ -37,7 +37,7 @@
     method: str
     path: str
     headers: headers.Headers
-    body: bytes
+    body: bytes | memoryview
     service: str = ""
     host: str = ""
     depth: int = 0
