Bound what all callers of an edge hold together

Cause: bodies, incomplete heads, pipelined requests and unread responses were bounded for a connection, not for the process; empty lines and the number of connections had no bound at all; a body had no time limit; limits of a new configuration did not reach open connections.

Change: one account of bytes (coordination/caller_memory) decides who may hold how much, what is refused with 503 and what is closed first; a share is kept for ordinary requests. The parser pauses behind 17 requests. Bytes that complete no head count from the first one and end the connection with 431. A body has 30 s. Limits are read at each use.

--- /dev/null
+++ b/tanagerspoke/coordination/caller_memory/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which callers may hold memory of the process, and how much."""
--- a/tanagerspoke/transport/callers/caller_calls.py
+++ b/tanagerspoke/transport/callers/caller_calls.py
@@ -20,6 +20,9 @@
 _DEFAULT_IDLE_TIMEOUT_S = 3630.0
 # Common HTTP servers wait this long for the headers of a request.
 _DEFAULT_HEADER_TIMEOUT_S = 60.0
+# No call has a longer deadline that is met, and clients within the limits send
+# their bodies in seconds.
+_DEFAULT_BODY_TIMEOUT_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -32,12 +35,15 @@
         header_timeout_s: time from the first byte of a request to the end of
             its headers.
         idle_timeout_s: time that a connection may stay open between requests.
+        body_timeout_s: time from the end of the headers to the end of the
+            body; nothing extends it.
     """
 
     max_header_bytes: int
     max_body_bytes: int
     header_timeout_s: float = _DEFAULT_HEADER_TIMEOUT_S
     idle_timeout_s: float = _DEFAULT_IDLE_TIMEOUT_S
+    body_timeout_s: float = _DEFAULT_BODY_TIMEOUT_S
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -104,7 +110,7 @@
     depth: int
     idempotency_key: str | None
     headers: headers.Headers
-    body: bytes
+    body: bytes | memoryview
     host: str = ""
     record: CallRecord | None = None
 
--- a/tanagerspoke/transport/callers/caller_connection.py
+++ b/tanagerspoke/transport/callers/caller_connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import logging
 import secrets
 import socket
@@ -21,9 +22,15 @@
 from aiohttp import streams
 from aiohttp import web
 
+from tanagerspoke.coordination.caller_memory import account
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import headers
+from tanagerspoke.transport.callers import caller_calls
 from tanagerspoke.transport.callers import error_responses
+from tanagerspoke.transport.callers import framing_limit
+from tanagerspoke.transport.callers import memory_guard
+from tanagerspoke.transport.callers import pipeline
+from tanagerspoke.transport.callers import request_body
 
 log = logging.getLogger(__name__)
 
@@ -32,9 +39,13 @@
 _LINGER_TIMEOUT_S = 2.0
 _READ_BUFFER_BYTES = 65_536
 _MAX_HEADER_COUNT = 128
-# Maximum number of parsed requests that wait for the running one. Reading
-# pauses above it and resumes at half of it.
+# The limits of the configuration are checked here, since they may change while
+# the connection is open, and those of the parser can't.
+_PARSER_FIELD_BYTES = 1_048_576
+# Number of parsed requests that wait for the running one at which parsing and
+# reading pause. They resume at half of it.
 _MAX_PIPELINED_REQUESTS = 16
+_MEMORY_MESSAGE = "this node's memory for requests is in use"
 # `struct linger` (on, 0 s): closing the socket sends a TCP reset.
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -51,12 +62,17 @@
         error response.
         """
 
-    def run_call(self, conn: "CallerConnection", body: bytes) -> None:
+    def run_call(
+        self, conn: "CallerConnection", body: bytes | memoryview
+    ) -> None:
         """Runs the call with its complete body."""
 
     def refuse_body(self, conn: "CallerConnection", *, too_large: bool) -> None:
         """Refuses a call whose body exceeds the limit or is malformed."""
 
+    def refuse_for_memory(self, conn: "CallerConnection") -> None:
+        """Refuses a call whose body may not be held."""
+
     def end_call(self, conn: "CallerConnection") -> None:
         """Ends the call after its response, or when its caller disconnects."""
 
@@ -72,25 +88,31 @@
         idle_since: monotonic seconds of the end of the last call.
         headers_started_at: monotonic seconds of the first byte of a request
             whose headers are not complete yet, None if there is none.
+        holding: bytes of the request or response that are counted.
     """
 
     __slots__ = (
-        "_body_size",
+        "_announced_bytes",
+        "_body",
+        "_framing",
+        "_guard",
         "_is_closing",
         "_drain_timeout_timer",
         "_handler",
         "_keep_alive",
         "_linger_timer",
         "_parsing_failed",
-        "_max_body_bytes",
+        "_limits",
         "_current_message",
         "_pending_messages",
-        "_body_parts",
+        "_pipeline",
+        "_head_cost_bytes",
         "_unread_payload",
         "_reading_body",
         "_next_call_scheduled",
         "call",
         "headers_started_at",
+        "holding",
         "idle_since",
     )
 
@@ -99,30 +121,39 @@
         *,
         loop: asyncio.AbstractEventLoop,
         handler: Handler,
-        max_header_bytes: int,
-        max_body_bytes: int,
+        limits: Callable[[], caller_calls.Limits],
+        guard: memory_guard.MemoryGuard,
     ) -> None:
         parser = aiohttp_http.HttpRequestParser(
             self,
             loop,
             _READ_BUFFER_BYTES,
-            max_line_size=max_header_bytes,
-            max_field_size=max_header_bytes,
+            max_line_size=_PARSER_FIELD_BYTES,
+            max_field_size=_PARSER_FIELD_BYTES,
             max_headers=_MAX_HEADER_COUNT,
             payload_exception=web.RequestPayloadError,
             auto_decompress=False,
+            # The running request counts as well.
+            max_msg_queue_size=_MAX_PIPELINED_REQUESTS + 1,
         )
         super().__init__(loop, parser)
         self._handler = handler
-        self._max_body_bytes = max_body_bytes
+        self._limits = limits
+        self._guard = guard
+        self._framing = framing_limit.FramingLimit()
+        self.holding = account.Holding(owner=self)
+        self._announced_bytes = 0
+        self._head_cost_bytes = 0
+        self._pipeline = pipeline.Pipeline(
+            guard=guard, on_drop=self._drop_pipeline
+        )
         self._pending_messages: collections.deque[
             tuple[aiohttp_http.RawRequestMessage, streams.StreamReader]
             | http_exceptions.HttpProcessingError
         ] = collections.deque()
         self._current_message: aiohttp_http.RawRequestMessage | None = None
         self._unread_payload: streams.StreamReader | None = None
-        self._body_parts: list[bytes] = []
-        self._body_size = 0
+        self._body = request_body.RequestBody()
         self._reading_body = False
         self._parsing_failed = False
         self._keep_alive = True
@@ -147,9 +178,37 @@
         """
         return self._unread_payload is not None
 
+    @property
+    def is_reading_body(self) -> bool:
+        """Whether the request still waits for the rest of its body."""
+        return self._unread_payload is not None and not self._is_closing
+
+    @property
+    def must_close(self) -> bool:
+        """Whether no further request of the connection will be served."""
+        return self._unread_payload is not None or (
+            self._parsing_failed and not self._pending_messages
+        )
+
+    def reserve(self, *, header_bytes: int, body_bytes: int) -> bool:
+        """Counts the current request; returns whether it may be received.
+
+        Args:
+            header_bytes: size of its headers.
+            body_bytes: announced size of its body, 0 if there is none.
+        """
+        self._announced_bytes = body_bytes
+        self._head_cost_bytes = memory_guard.HEAD_COST * header_bytes
+        return self._guard.grow(
+            self.holding, self._head_cost_bytes + body_bytes
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the event loop."""
         super().connection_made(transport)
+        if self._is_closing:
+            transport.abort()
+            return
         # Writing pauses while any byte is unsent; see `finish`.
         transport.set_write_buffer_limits(high=0)
         sock = transport.get_extra_info("socket")
@@ -167,22 +226,15 @@
         if self.call is not None:
             self._handler.end_call(self)
         self._handler.connection_closed(self)
+        # The parser and the connection refer to each other: without this, what
+        # they hold would stay in memory until a garbage collection.
+        self._discard_input()
 
     def data_received(self, data: bytes) -> None:
         """Called by the event loop."""
-        if self._is_closing:
+        if self._is_closing or self._parsing_failed:
             return
-        try:
-            messages, upgraded, _ = self._parser.feed_data(data)
-        except http_exceptions.HttpProcessingError as exc:
-            self._pending_messages.append(exc)
-            self._parsing_failed = True
-        else:
-            self._pending_messages.extend(messages)
-            # The parser reads no further requests after one that asks for an
-            # upgrade. No upgrade is granted; the connection closes after the
-            # response.
-            self._upgraded = self._upgraded or upgraded
+        self._parse(data)
         if self._reading_body:
             # Reading the payload resumes the parser, which calls this method
             # again. Only the outer invocation may finish the body; otherwise
@@ -193,11 +245,80 @@
         elif self._current_message is None and not self._next_call_scheduled:
             self._update_headers_start()
             self._start_next_call()
+        if self._pending_messages and self._current_message is not None:
+            self._count_pipelined(len(data))
+
+    def _parse(self, data: bytes) -> None:
+        try:
+            messages, upgraded, _ = self._parser.feed_data(data)
+        except http_exceptions.HttpProcessingError as exc:
+            self._fail_parsing(exc)
+            return
+        if messages:
+            self._pending_messages.extend(messages)
+            self._framing.begin(messages[-1][1])
+            if self._current_message is None:
+                self._guard.release(self.holding)
+        elif data and not self._buffer_paused and not self._reading_paused:
+            self._count_framing(len(data))
+        # The parser reads no further requests after one that asks for an
+        # upgrade. No upgrade is granted; the connection closes after the
+        # response.
+        self._upgraded = self._upgraded or upgraded
+
+    def _fail_parsing(self, exc: http_exceptions.HttpProcessingError) -> None:
+        self._pending_messages.append(exc)
+        self._parsing_failed = True
+
+    def _count_framing(self, size_bytes: int) -> None:
+        framing = self._framing
+        framing.add(size_bytes)
+        if framing.is_exceeded(self._limits().max_header_bytes):
+            self._fail_parsing(http_exceptions.LineTooLong(b"", 0))
+        elif framing.is_in_body:
+            return
+        elif self._current_message is not None:
+            self._count_pipelined(size_bytes)
+        elif not self._guard.grow(
+            self.holding, memory_guard.HEAD_COST * framing.size_bytes
+        ):
+            self.close_for_memory()
+
+    def _count_pipelined(self, size_bytes: int) -> None:
+        """Counts what was received behind the running request."""
         if (
-            len(self._pending_messages) > _MAX_PIPELINED_REQUESTS
+            len(self._pending_messages) >= _MAX_PIPELINED_REQUESTS
             and not self._buffer_paused
         ):
             self._pause_reading_for_buffer()
+        self._pipeline.add(size_bytes, len(self._pending_messages))
+
+    def _drop_pipeline(self) -> None:
+        """Drops the requests behind the running one, which did not run.
+
+        The connection closes after the running one's response.
+        """
+        self._pipeline.clear()
+        self._parsing_failed = True
+        self._pending_messages.clear()
+        # It holds what it has not parsed yet.
+        self._parser = None
+        if self._current_message is None:
+            self.close()
+
+    def close_for_memory(self) -> None:
+        """Gives up what is held; implements `memory_guard.Owner`."""
+        self._guard.release(self.holding)
+        if self.is_reading_body:
+            self.drop_body()
+            self._handler.refuse_for_memory(self)
+        elif self.call is not None:
+            # Its response has been sent in part.
+            self.reset()
+        else:
+            self.refuse_headers(
+                errors.ErrorCode.MEMORY_EXHAUSTED, _MEMORY_MESSAGE
+            )
 
     def resume_writing(self) -> None:
         """Called by the event loop."""
@@ -222,7 +343,11 @@
         self._keep_alive = keep_alive
         if self._unread_payload is not None:
             self._is_closing = True
+            self._discard_input()
         if self._paused:
+            if not self._may_buffer(self.transport.get_write_buffer_size()):
+                self.reset()
+                return
             self._drain_timeout_timer = self._loop.call_later(
                 headers.MAX_DEADLINE_MS / 1000, self.reset
             )
@@ -249,11 +374,26 @@
         if self.transport is not None:
             self.transport.close()
 
+    def abort(self) -> None:
+        """Closes the connection at once, also before it is established."""
+        self._is_closing = True
+        if self.transport is not None:
+            self.transport.abort()
+
     async def drain(self) -> None:
         """Waits until all that was written has left the process."""
         if self._paused:
+            if not self._may_buffer(memory_guard.STREAM_BYTES):
+                raise ConnectionResetError("no memory for a slow caller")
             await self._drain_helper()
 
+    def _may_buffer(self, size_bytes: int) -> bool:
+        """Counts a response that the caller is slow to read."""
+        # An upstream has answered, so the connection may be closed.
+        self.holding.is_dispatched = False
+        self._guard.restart_stall(self.holding)
+        return self._guard.grow(self.holding, size_bytes)
+
     def refuse_headers(self, code: errors.ErrorCode, message: str) -> None:
         """Sends an error for invalid or late headers, then closes."""
         self.headers_started_at = None
@@ -280,24 +420,35 @@
         if not self._pending_messages or self._is_closing:
             return
         message_or_error = self._pending_messages.popleft()
-        if (
-            self._buffer_paused
-            and len(self._pending_messages) <= _MAX_PIPELINED_REQUESTS // 2
-        ):
-            self._resume_reading_for_buffer()
         if isinstance(message_or_error, http_exceptions.HttpProcessingError):
             self._refuse_malformed(message_or_error)
             return
         self._current_message, payload = message_or_error
+        if (
+            self._buffer_paused
+            and len(self._pending_messages) <= _MAX_PIPELINED_REQUESTS // 2
+        ):
+            self._resume_pipeline()
+        if self._pipeline.size_bytes and not self._pending_messages:
+            self._pipeline.clear()
         if payload is not streams.EMPTY_PAYLOAD:
             self._unread_payload = payload
         if not self._handler.open_call(self, self._current_message):
             return
         if self._unread_payload is None:
+            self.holding.is_dispatched = True
             self._handler.run_call(self, b"")
         else:
             self._read_body()
 
+    def _resume_pipeline(self) -> None:
+        self._buffer_paused = False
+        # Continues with what the parser has not parsed yet, which may pause
+        # the connection again.
+        self.data_received(b"")
+        if not self._buffer_paused:
+            self._resume_reading_for_buffer()
+
     def _read_body(self) -> None:
         payload = self._unread_payload
         if payload.exception() is not None:
@@ -306,8 +457,7 @@
         self._reading_body = True
         try:
             while data := payload.read_nowait():
-                self._body_size += len(data)
-                self._body_parts.append(data)
+                self._body.append(data, self._announced_bytes)
         except Exception:
             # Reading the payload resumes the parser, which can fail on the
             # data that follows.
@@ -315,23 +465,49 @@
             self._handler.refuse_body(self, too_large=False)
             return
         self._reading_body = False
-        if self._body_size > self._max_body_bytes:
+        size_bytes = self._body.size_bytes
+        if size_bytes > self._limits().max_body_bytes:
+            self.drop_body()
             self._handler.refuse_body(self, too_large=True)
+        elif not self._guard.grow(
+            self.holding, self._head_cost_bytes + size_bytes
+        ):
+            self.close_for_memory()
         elif payload.is_eof():
             self._unread_payload = None
-            body = b"".join(self._body_parts)
-            self._body_parts.clear()
-            self._body_size = 0
-            self._handler.run_call(self, body)
+            self.holding.is_dispatched = True
+            self._handler.run_call(self, self._body.take())
         elif self._parsing_failed:
             # The parser has stopped, so the rest of the body never arrives.
             self._handler.refuse_body(self, too_large=False)
+        else:
+            self._guard.record_progress(self.holding, size_bytes)
+
+    def drop_body(self) -> None:
+        """Frees what was read of a body that is refused."""
+        self._body.clear()
+        self._guard.release(self.holding)
+
+    def _discard_input(self) -> None:
+        """Frees what was received and will not be used any more."""
+        self.drop_body()
+        self._pending_messages.clear()
+        self._pipeline.clear()
+        self._framing.begin(streams.EMPTY_PAYLOAD)
+        if self._unread_payload is not None:
+            # Only its absence counts from now on.
+            self._unread_payload = streams.EMPTY_PAYLOAD
+        self._parser = None
 
     def _end_call(self) -> None:
         self._handler.end_call(self)
         self._current_message = None
         self.idle_since = time.monotonic()
-        if self._unread_payload is not None:
+        self._guard.release(self.holding)
+        self.holding.is_dispatched = False
+        if self._parser is not None:
+            self._parser.message_consumed()
+        if self.must_close:
             self._linger()
         elif not self._keep_alive or self._upgraded:
             self.close()
@@ -348,7 +524,7 @@
         could destroy the error response before the caller has read it.
         """
         self._is_closing = True
-        self._body_parts.clear()
+        self._discard_input()
         self._reading_paused = False
         self._resume_transport_reading()
         self._linger_timer = self._loop.call_later(
--- a/tanagerspoke/transport/callers/caller_headers.py
+++ b/tanagerspoke/transport/callers/caller_headers.py
@@ -22,21 +22,26 @@
 
 
 def check_header_size(
-    raw_headers: tuple[tuple[bytes, bytes], ...], max_bytes: int
-) -> None:
-    """Checks the total size of the header names and values.
+    message: aiohttp_http.RawRequestMessage, max_bytes: int
+) -> int:
+    """Checks the request line, and the size of all header names and values.
+
+    Returns:
+        The size of the request line and the headers, without separators.
 
     Raises:
-        CallRefusedError: the size exceeds `max_bytes`.
+        CallRefusedError: one of the two sizes exceeds `max_bytes`.
     """
     size_bytes = 0
-    for name, value in raw_headers:
+    for name, value in message.raw_headers:
         size_bytes += len(name) + len(value)
-    if size_bytes > max_bytes:
+    line_bytes = len(message.path) + len(message.method)
+    if size_bytes > max_bytes or line_bytes > max_bytes:
         raise exceptions.CallRefusedError(
             code=errors.ErrorCode.HEADER_TOO_LARGE,
             message=f"the headers exceed {max_bytes} bytes",
         )
+    return size_bytes + line_bytes
 
 
 def bearer_token(message: aiohttp_http.RawRequestMessage) -> str | None:
--- a/tanagerspoke/transport/callers/caller_server.py
+++ b/tanagerspoke/transport/callers/caller_server.py
@@ -19,6 +19,7 @@
 from tanagerspoke.transport.callers import caller_connection
 from tanagerspoke.transport.callers import caller_headers
 from tanagerspoke.transport.callers import error_responses
+from tanagerspoke.transport.callers import memory_guard
 from tanagerspoke.transport.operations import log_limit
 from tanagerspoke.transport.upstreams import dispatcher
 from tanagerspoke.transport.upstreams import upstream_dialect
@@ -35,6 +36,11 @@
 _MIN_TIMEOUT_CHECK_INTERVAL_S = 0.05
 _FAILURE_LOG_LINES_PER_S = 10.0
 _FAILURE_LOG_BURST_LINES = 100
+# Connections that wait for being accepted; all of them may be accepted at once.
+_BACKLOG = 128
+# Holdings without progress are closed for others after 2 s.
+_MEMORY_RETRY_AFTER_S = 1.0
+_CLOSING_CODES = frozenset({errors.ErrorCode.HEADER_TOO_LARGE.value})
 _REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
 
@@ -87,6 +93,10 @@
             written or its caller disconnected.
         is_stopping: while it returns true, each response closes its
             connection.
+        guard: counts the memory that callers hold.
+        max_connections: limit on open connections, None if there is none.
+            Beyond it, the connection that has been without a call for longest
+            is closed, or the new one if all have calls.
     """
 
     def __init__(
@@ -106,6 +116,8 @@
             None
         ),
         is_stopping: Callable[[], bool] = lambda: False,
+        guard: memory_guard.MemoryGuard | None = None,
+        max_connections: int | None = None,
     ) -> None:
         self._listen = listen
         self._limits = limits
@@ -114,6 +126,8 @@
         self._on_started = on_started
         self._on_ended = on_ended
         self._is_stopping = is_stopping
+        self._guard = guard or memory_guard.MemoryGuard()
+        self._max_connections = max_connections
         self._call_ids = itertools.count(1)
         self._request_id_prefix = secrets.token_hex(8)
         self._conns: set[caller_connection.CallerConnection] = set()
@@ -127,14 +141,18 @@
         loop = asyncio.get_running_loop()
 
         def new_connection() -> caller_connection.CallerConnection:
-            limits = self._limits()
             conn = caller_connection.CallerConnection(
                 loop=loop,
                 handler=self,
-                max_header_bytes=limits.max_header_bytes,
-                max_body_bytes=limits.max_body_bytes,
+                limits=self._limits,
+                guard=self._guard,
             )
             self._conns.add(conn)
+            if (
+                self._max_connections is not None
+                and len(self._conns) > self._max_connections
+            ):
+                self._close_idlest(conn)
             return conn
 
         self._listener = await loop.create_server(
@@ -142,10 +160,19 @@
             self._listen.address,
             self._listen.port,
             reuse_port=True,
-            backlog=128,
+            backlog=_BACKLOG,
         )
         self._schedule_timeout_check()
 
+    def _close_idlest(self, new: caller_connection.CallerConnection) -> None:
+        """Closes the connection that has been without a call for longest."""
+        idle = (
+            conn
+            for conn in self._conns
+            if conn is not new and conn.call is None and conn.is_open
+        )
+        min(idle, key=lambda conn: conn.idle_since, default=new).abort()
+
     async def close_listeners(self) -> None:
         """Stops accepting connections; open ones are still served."""
         if self._listener is not None:
@@ -200,7 +227,7 @@
         call = conn.call = _Call(conn=conn, message=message, record=record)
         self._on_started(record)
         try:
-            call.request = self._parse_request(message, record)
+            call.request = self._parse_request(conn, message, record)
         except Exception as exc:
             self._send_error(conn, call, exc)
             return False
@@ -209,7 +236,7 @@
         return True
 
     def run_call(
-        self, conn: caller_connection.CallerConnection, body: bytes
+        self, conn: caller_connection.CallerConnection, body: bytes | memoryview
     ) -> None:
         """Implements `caller_connection.Handler`."""
         call = conn.call
@@ -242,17 +269,27 @@
             )
         self._send_error(conn, conn.call, exc)
 
+    def refuse_for_memory(
+        self, conn: caller_connection.CallerConnection
+    ) -> None:
+        """Implements `caller_connection.Handler`."""
+        self._send_error(conn, conn.call, _memory_error())
+
     def end_call(self, conn: caller_connection.CallerConnection) -> None:
         """Implements `caller_connection.Handler`."""
         call = conn.call
         conn.call = None
         record = call.record
+        on_disconnect = call.on_disconnect
+        # It refers to the request, whose callback refers to `call`: without
+        # this, the body would stay in memory until a garbage collection.
+        call.on_disconnect = None
         if call.stream_task is not None:
             call.stream_task.cancel()
         elif record.code is None:
             record.code = "caller_left"
-            if call.on_disconnect is not None:
-                call.on_disconnect()
+            if on_disconnect is not None:
+                on_disconnect()
         if record.code is None:
             record.code = "caller_left"
         self._on_ended(record)
@@ -343,19 +380,23 @@
 
     def _parse_request(
         self,
+        conn: caller_connection.CallerConnection,
         message: aiohttp_http.RawRequestMessage,
         record: caller_calls.CallRecord,
     ) -> caller_calls.CallerRequest:
         limits = self._limits()
         _check_expectation(message)
-        caller_headers.check_header_size(
-            message.raw_headers, limits.max_header_bytes
+        header_bytes = caller_headers.check_header_size(
+            message, limits.max_header_bytes
         )
         request = self._dialect.parse_request(message, record)
         content_length = message.headers.get("Content-Length", "")
+        body_bytes = int(content_length) if content_length.isdecimal() else 0
         max_bytes = limits.max_body_bytes
-        if content_length.isdecimal() and int(content_length) > max_bytes:
+        if body_bytes > max_bytes:
             raise _body_too_large_error(max_bytes)
+        if not conn.reserve(header_bytes=header_bytes, body_bytes=body_bytes):
+            raise _memory_error()
         return request
 
     def _may_keep_alive(self, message: aiohttp_http.RawRequestMessage) -> bool:
@@ -442,7 +483,9 @@
     ) -> list[str]:
         """Returns status line and headers; also sets `call.keep_alive`."""
         call.keep_alive = (
-            self._may_keep_alive(call.message) and not call.conn.has_unread_body
+            self._may_keep_alive(call.message)
+            and not call.conn.must_close
+            and call.record.code not in _CLOSING_CODES
         )
         lines = [f"HTTP/1.1 {status} {_REASON_PHRASES.get(status, '')}"]
         lines += [f"{name}: {value}" for name, value in header_fields]
@@ -526,7 +569,11 @@
 
     def _schedule_timeout_check(self) -> None:
         limits = self._limits()
-        shortest_timeout_s = min(limits.idle_timeout_s, limits.header_timeout_s)
+        shortest_timeout_s = min(
+            limits.idle_timeout_s,
+            limits.header_timeout_s,
+            limits.body_timeout_s,
+        )
         self._timeout_check_timer = asyncio.get_running_loop().call_later(
             max(
                 _MIN_TIMEOUT_CHECK_INTERVAL_S,
@@ -540,6 +587,12 @@
         now = time.monotonic()
         for conn in list(self._conns):
             if conn.call is not None:
+                if (
+                    conn.is_reading_body
+                    and now - conn.call.record.started_at
+                    > limits.body_timeout_s
+                ):
+                    self._refuse_late_body(conn, limits.body_timeout_s)
                 continue
             headers_started_at = conn.headers_started_at
             if (
@@ -554,6 +607,24 @@
                 conn.close()
         self._schedule_timeout_check()
 
+    def _refuse_late_body(
+        self, conn: caller_connection.CallerConnection, timeout_s: float
+    ) -> None:
+        conn.drop_body()
+        exc = exceptions.CallRefusedError(
+            code=errors.ErrorCode.BODY_TIMEOUT,
+            message=f"no whole body in {timeout_s:g} s",
+        )
+        self._send_error(conn, conn.call, exc)
+
+
+def _memory_error() -> exceptions.CallRefusedError:
+    return exceptions.CallRefusedError(
+        code=errors.ErrorCode.MEMORY_EXHAUSTED,
+        message="this node's memory for requests is in use",
+        retry_after_s=_MEMORY_RETRY_AFTER_S,
+    )
+
 
 def _new_log_limit(event: str) -> log_limit.LogLimit:
     return log_limit.LogLimit(
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -15,6 +15,7 @@
 from tanagerspoke.coordination import probe_rounds
 from tanagerspoke.coordination import retry_budget
 from tanagerspoke.coordination import route_scheduling
+from tanagerspoke.coordination.caller_memory import limits as memory_limits
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import routing
@@ -25,6 +26,7 @@
 from tanagerspoke.state import routes
 from tanagerspoke.transport.callers import caller_calls
 from tanagerspoke.transport.callers import caller_server
+from tanagerspoke.transport.callers import memory_guard
 from tanagerspoke.transport.operations import admin_server
 from tanagerspoke.transport.operations import call_traces
 from tanagerspoke.transport.operations import edge_metrics
@@ -134,6 +136,11 @@
         self._metrics.watch_control_bytes(
             kind="news", read_total=lambda: self._zone_feed.exchanged_bytes
         )
+        self._memory_guard = memory_guard.MemoryGuard(
+            memory_limits=memory_limits.memory_limits(cfg.memory_bytes),
+            on_closed=self._metrics.closed_for_memory.inc,
+        )
+        self._metrics.watch_caller_memory(lambda: self._memory_guard.used_bytes)
         self._server = caller_server.CallerServer(
             listen=cfg.callers,
             limits=lambda: self._limits,
@@ -142,6 +149,8 @@
             on_started=self._start_call,
             on_ended=self._end_call,
             is_stopping=lambda: not self._graceful_stop.is_ready,
+            guard=self._memory_guard,
+            max_connections=memory_limits.max_connections(cfg.max_descriptors),
         )
         self._graceful_stop = graceful_stop.GracefulStop(
             lame_duck_s=min(_LAME_DUCK_S, cfg.stop_grace_s / 2),
@@ -224,6 +233,9 @@
         ]
         self._cfg = cfg
         self._zone_feed.set_options(cfg)
+        self._memory_guard.set_limits(
+            memory_limits.memory_limits(cfg.memory_bytes)
+        )
         for budget in self._retry_budgets.values():
             budget.set_bounds(
                 ratio=cfg.retry_budget.ratio,
--- a/tanagerspoke/transport/operations/edge_metrics.py
+++ b/tanagerspoke/transport/operations/edge_metrics.py
@@ -153,6 +153,14 @@
         )
         self._control_bytes = _ControlBytesCollector()
         registry.register(self._control_bytes)
+        self.closed_for_memory = counter(
+            "tanagerspoke_edge_closed_for_memory",
+            "Requests and responses whose memory was needed for others",
+        )
+        self._caller_memory = gauge(
+            "tanagerspoke_edge_caller_memory_bytes",
+            "Bytes that callers hold or have announced",
+        )
         self._retries = counter(
             "tanagerspoke_edge_retries", "Attempts after others", ("service",)
         )
@@ -204,6 +212,10 @@
         """Registers a function that returns the control bytes of a kind."""
         self._control_bytes.read_totals[kind] = read_total
 
+    def watch_caller_memory(self, read_bytes: Callable[[], int]) -> None:
+        """Registers a function that returns the bytes that callers hold."""
+        self._caller_memory.set_function(read_bytes)
+
     def count_dispatch(self, service: str, action: calls.Dispatch) -> None:
         """Counts the attempt if it is a hedge or a retry."""
         if action.is_hedge:
--- a/tests/transport/callers/test_caller_connection.py
+++ b/tests/transport/callers/test_caller_connection.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from tanagerspoke.transport.callers import caller_calls
 from tanagerspoke.transport.callers import caller_connection
+from tanagerspoke.transport.callers import memory_guard
 from tests import stack as stacks
 
 
@@ -43,8 +45,10 @@
     return caller_connection.CallerConnection(
         loop=asyncio.get_running_loop(),
         handler=handler,
-        max_header_bytes=8000,
-        max_body_bytes=100,
+        limits=lambda: caller_calls.Limits(
+            max_header_bytes=8000, max_body_bytes=100
+        ),
+        guard=memory_guard.MemoryGuard(),
     )
 
 
