Shorten the path of ordinary requests through the limits on callers

Cause: counters and holdings were touched for each request, also where nothing had to be counted, and small bodies were copied twice.

Ruled out: leaving bodies up to 64 KiB uncounted; 767 connections could hold 50 MB of them.

Change: the count of head bytes exists only while a head is not complete; a holding that fits costs an addition and a comparison; a body that arrives in one part is not copied.

--- a/tanagerspoke/coordination/caller_memory/account.py
+++ b/tanagerspoke/coordination/caller_memory/account.py
@@ -76,24 +76,29 @@
 
         If not, it keeps its size. The holdings in `closed` are released.
         """
-        is_new = holding not in self._holdings
-        if is_new:
+        if not holding.size_bytes:
             holding.progressed_at = now
+            self._holdings.add(holding)
+        used_bytes = self._used_bytes - holding.size_bytes + size_bytes
+        if used_bytes <= self._limits.large_bytes:
+            self._used_bytes = used_bytes
+            holding.size_bytes = size_bytes
+            return _GRANTED
         is_large = size_bytes > self._limits.ordinary_request_bytes
         bound_bytes = (
             self._limits.large_bytes if is_large else self._limits.total_bytes
         )
-        used_bytes = self._used_bytes - holding.size_bytes + size_bytes
         closed: tuple[Holding, ...] = ()
         if used_bytes > bound_bytes and size_bytes > holding.size_bytes:
             closed = self._make_room(
                 holding, used_bytes - bound_bytes, is_large, now
             )
             if not closed:
+                if not holding.size_bytes:
+                    self._holdings.discard(holding)
                 return _REFUSED
         self._used_bytes += size_bytes - holding.size_bytes
         holding.size_bytes = size_bytes
-        self._holdings.add(holding)
         return Decision(granted=True, closed=closed) if closed else _GRANTED
 
     def release(self, holding: Holding) -> None:
--- a/tanagerspoke/transport/callers/caller_connection.py
+++ b/tanagerspoke/transport/callers/caller_connection.py
@@ -102,6 +102,7 @@
         "_keep_alive",
         "_linger_timer",
         "_parsing_failed",
+        "_last_payload",
         "_limits",
         "_current_message",
         "_pending_messages",
@@ -140,7 +141,8 @@
         self._handler = handler
         self._limits = limits
         self._guard = guard
-        self._framing = framing_limit.FramingLimit()
+        self._framing: framing_limit.FramingLimit | None = None
+        self._last_payload: streams.StreamReader | None = None
         self.holding = account.Holding(owner=self)
         self._announced_bytes = 0
         self._head_cost_bytes = 0
@@ -199,8 +201,9 @@
         """
         self._announced_bytes = body_bytes
         self._head_cost_bytes = memory_guard.HEAD_COST * header_bytes
-        return self._guard.grow(
-            self.holding, self._head_cost_bytes + body_bytes
+        size_bytes = self._head_cost_bytes + body_bytes
+        return size_bytes <= memory_guard.UNCOUNTED_BYTES or self._guard.grow(
+            self.holding, size_bytes
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -256,8 +259,9 @@
             return
         if messages:
             self._pending_messages.extend(messages)
-            self._framing.begin(messages[-1][1])
-            if self._current_message is None:
+            self._framing = None
+            self._last_payload = messages[-1][1]
+            if self._current_message is None and self.holding.size_bytes:
                 self._guard.release(self.holding)
         elif data and not self._buffer_paused and not self._reading_paused:
             self._count_framing(len(data))
@@ -272,6 +276,9 @@
 
     def _count_framing(self, size_bytes: int) -> None:
         framing = self._framing
+        if framing is None:
+            framing = framing_limit.FramingLimit(payload=self._last_payload)
+            self._framing = framing
         framing.add(size_bytes)
         if framing.is_exceeded(self._limits().max_header_bytes):
             self._fail_parsing(http_exceptions.LineTooLong(b"", 0))
@@ -493,7 +500,8 @@
         self.drop_body()
         self._pending_messages.clear()
         self._pipeline.clear()
-        self._framing.begin(streams.EMPTY_PAYLOAD)
+        self._framing = None
+        self._last_payload = None
         if self._unread_payload is not None:
             # Only its absence counts from now on.
             self._unread_payload = streams.EMPTY_PAYLOAD
@@ -503,7 +511,8 @@
         self._handler.end_call(self)
         self._current_message = None
         self.idle_since = time.monotonic()
-        self._guard.release(self.holding)
+        if self.holding.size_bytes:
+            self._guard.release(self.holding)
         self.holding.is_dispatched = False
         if self._parser is not None:
             self._parser.message_consumed()
--- a/tanagerspoke/transport/callers/framing_limit.py
+++ b/tanagerspoke/transport/callers/framing_limit.py
@@ -16,9 +16,14 @@
 
     __slots__ = ("_body_state", "_payload", "size_bytes")
 
-    def __init__(self) -> None:
+    def __init__(self, *, payload: streams.StreamReader | None) -> None:
+        """Starts the count.
+
+        Args:
+            payload: body of the last complete head, None if there was none.
+        """
         self.size_bytes = 0
-        self._payload: streams.StreamReader | None = None
+        self._payload = payload
         self._body_state: tuple[int, bool] | None = None
 
     @property
@@ -26,18 +31,10 @@
         """Whether the body of the last head is not complete."""
         return self._payload is not None and not self._payload.is_eof()
 
-    def begin(self, payload: streams.StreamReader) -> None:
-        """Starts again after a complete head, whose body is `payload`."""
-        self.size_bytes = 0
-        self._payload = None
-        if payload is not streams.EMPTY_PAYLOAD:
-            self._payload = payload
-        self._body_state = None
-
     def add(self, size_bytes: int) -> None:
         """Counts a read that completed no head."""
         payload = self._payload
-        if payload is not None:
+        if payload is not None and payload is not streams.EMPTY_PAYLOAD:
             state = (payload.total_bytes, payload.is_eof())
             if state != self._body_state:
                 self._body_state = state
--- a/tanagerspoke/transport/callers/memory_guard.py
+++ b/tanagerspoke/transport/callers/memory_guard.py
@@ -9,7 +9,7 @@
 
 # Requests up to this size aren't counted: a descriptor limit of 1,535 allows
 # 767 connections, whose uncounted requests hold 3 MB.
-_UNCOUNTED_BYTES = 4096
+UNCOUNTED_BYTES = 4096
 # Parsed or partly parsed headers are kept as bytes and as text.
 HEAD_COST = 3
 # A streamed response that its caller reads slowly: 0.78 MB in the trial with
@@ -75,7 +75,7 @@
         if (
             self._memory is None
             or size_bytes <= holding.size_bytes
-            or size_bytes <= _UNCOUNTED_BYTES
+            or size_bytes <= UNCOUNTED_BYTES
         ):
             return True
         size_bytes += (
--- a/tanagerspoke/transport/callers/request_body.py
+++ b/tanagerspoke/transport/callers/request_body.py
@@ -16,7 +16,8 @@
 
     def __init__(self) -> None:
         self.size_bytes = 0
-        self._small = bytearray()
+        # `bytes` while there is one part, which is then not copied.
+        self._small: bytes | bytearray = b""
         self._map: mmap.mmap | None = None
 
     def append(self, data: bytes, announced_bytes: int) -> None:
@@ -28,7 +29,13 @@
         """
         end = self.size_bytes + len(data)
         if end <= _MAX_HEAP_BYTES:
-            self._small += data
+            if not self._small:
+                self._small = data
+            elif isinstance(self._small, bytearray):
+                self._small += data
+            else:
+                self._small = bytearray(self._small)
+                self._small += data
         else:
             # Pages that were not written to cost nothing.
             if self._map is None:
@@ -38,7 +45,7 @@
                     flags=mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS,
                 )
                 self._map[: self.size_bytes] = self._small
-                self._small = bytearray()
+                self._small = b""
             elif end > len(self._map):
                 self._map.resize(int(end * _GROWTH_FACTOR))
             self._map[self.size_bytes : end] = data
@@ -46,14 +53,15 @@
 
     def take(self) -> bytes | memoryview:
         """Returns the whole body; this object is empty afterwards."""
-        body: bytes | memoryview = bytes(self._small)
         if self._map is not None:
-            body = memoryview(self._map)[: self.size_bytes]
+            body: bytes | memoryview = memoryview(self._map)[: self.size_bytes]
+        else:
+            body = bytes(self._small)
         self.clear()
         return body
 
     def clear(self) -> None:
         """Frees all parts."""
         self.size_bytes = 0
-        self._small = bytearray()
+        self._small = b""
         self._map = None
