Read the notice of a response to a cancelled exchange

Cause: test_worker_that_asks_for_a_pause_is_left_alone failed now and then. A trace shows a hedge that was sent at 79.6 ms, refused with Retry-After in the same millisecond, and cancelled at 79.8 ms, when the other attempt was answered. The connection was closed with the response unread, so the upstream got a probe and a further hedge.

Ruled out: keeping the connection open until the response, since closing it tells the upstream to stop.

Change: a cancelled exchange whose response has not begun stays open for 2 ms and uses only the notice.

--- a/tanagerspoke/transport/upstreams/upstream_client.py
+++ b/tanagerspoke/transport/upstreams/upstream_client.py
@@ -28,6 +28,10 @@
 # this time is down or overloaded.
 _CONNECT_TIMEOUT_S = 0.5
 _IDLE_SWEEP_INTERVAL_S = 5.0
+# Time for which the connection of a cancelled exchange stays open. A hedge that
+# an upstream refused in the same millisecond in which the other attempt was
+# answered lost its `Retry-After`, and the upstream got further requests.
+_CANCELLED_READ_S = 0.002
 _LATE_REPLY_WATCH_S = 30.0
 
 # Log limits of late, lost, crossed and skipped replies. They are high, since
@@ -231,11 +235,8 @@
         assert conn is not None
         head = conn.reader.head
         matches = self._owns(head)
-        if self.watched:
-            if not matches:
-                self._client.report_watch_broken(self)
-            elif conn.reader.done:
-                self._client.report_reply_arrived(self)
+        if self.ended:
+            self._read_after_end(head, matches)
             return
         if not matches:
             self._fail(
@@ -257,6 +258,19 @@
         if conn.reader.done and not self.ended:
             self._finish()
 
+    def _read_after_end(self, head: Any, matches: bool) -> None:
+        """Uses a response that arrives after the exchange has ended."""
+        conn = self.conn
+        if not self.watched:
+            # Cancelled: only the notice of the response is of use.
+            if matches and not self._notice_read:
+                self._read_notice(head)
+            conn.close()
+        elif not matches:
+            self._client.report_watch_broken(self)
+        elif conn.reader.done:
+            self._client.report_reply_arrived(self)
+
     def _read_notice(self, head: Any) -> None:
         """Reports the notice in a head once, before the response is used.
 
@@ -386,6 +400,13 @@
             self.watched = True
             self._body.clear()
             self._client.watch(self)
+        elif (
+            conn is not None
+            and isinstance(result, calls.Cancelled)
+            and not self._notice_read
+        ):
+            # The response may have been sent already, with a notice.
+            self._client.close_soon(conn)
         elif conn is not None:
             conn.close()
             self.conn = None
@@ -451,6 +472,7 @@
             max_watched=late_replies_watched, watch_s=late_reply_watch_s
         )
         self._reply_timer: asyncio.TimerHandle | None = None
+        self._closing: set[upstream_connection.UpstreamConnection] = set()
         self._watched: dict[int, Exchange] = {}
         self._late_log_limit = _reply_log_limit("late_reply")
         self._lost_log_limit = _reply_log_limit("lost_reply")
@@ -477,6 +499,9 @@
             if timer is not None:
                 timer.cancel()
         self._idle.close()
+        for conn in self._closing:
+            conn.close()
+        self._closing.clear()
         for exchange in self._watched.values():
             if exchange.conn is not None:
                 exchange.conn.close()
@@ -519,6 +544,15 @@
         """Schedules a callback for the next iteration of the event loop."""
         self._loop.call_soon(callback, *args)
 
+    def close_soon(self, conn: upstream_connection.UpstreamConnection) -> None:
+        """Closes a connection once its last responses could be read."""
+        self._closing.add(conn)
+        self._loop.call_later(_CANCELLED_READ_S, self._close_now, conn)
+
+    def _close_now(self, conn: upstream_connection.UpstreamConnection) -> None:
+        self._closing.discard(conn)
+        conn.close()
+
     def now(self) -> float:
         """Returns the time of the event loop's clock in seconds."""
         return self._loop.time()
--- a/tests/transport/upstreams/test_upstream_client.py
+++ b/tests/transport/upstreams/test_upstream_client.py
@@ -229,6 +229,60 @@
     assert harness.connections == 2
 
 
+class _NoticeDialect(upstream_dialect.TanagerspokeDialect):
+    """Takes each response for a notice that the upstream is leaving."""
+
+    def notice(self, head) -> upstreams.Notice | None:
+        del head
+        return upstreams.Notice(leaving=True)
+
+
+async def test_notice_of_a_cancelled_exchange_is_read() -> None:
+    """Guards against requests to an upstream that has just refused a hedge.
+
+    The response is in the socket's buffer when the exchange is cancelled.
+    """
+    harness = Harness()
+    harness.client = upstream_client.UpstreamClient(dialect=_NoticeDialect())
+    notices: list[upstreams.Notice] = []
+    results: list[upstream_client.EndedExchange] = []
+
+    async def script(reader, writer, number) -> None:
+        writer.write(make_response(await read_id(reader)))
+        exchange.cancel()
+        await reader.read()
+
+    async with harness.serving(script):
+        exchange = harness.client.send(
+            upstream=upstreams.Upstream(
+                upstream_id="u1",
+                service="s",
+                address="127.0.0.1",
+                port=harness.port,
+                availability_zone="a",
+            ),
+            request=upstream_dialect.UpstreamRequest(
+                request_id="r1",
+                client_account="oulu-shop",
+                method="GET",
+                path="/x",
+                headers=(),
+                body=b"",
+            ),
+            attempt=1,
+            timeout_s=20.0,
+            on_ended=results.append,
+            on_notice=notices.append,
+        )
+        await stacks.wait_until(lambda: _is_true(notices), "the notice")
+    assert [ended.result for ended in results] == [calls.Cancelled()]
+    assert notices == [upstreams.Notice(leaving=True)]
+
+
+async def _is_true(value: object) -> bool:
+    return bool(value)
+
+
 async def test_late_and_lost_replies(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
