Limit second attempts by a share that the operators set

Routes without samples take 0.4 of the target for every quantile. Ruled out: a count over the fleet (needs messages), a share of a sliding window (0 for ever on a node with few calls), the fixed quantile 0.8 (a small share goes to the first calls rather than the slowest), treating any queued call as overload (each call waits for its first load report). Change: edge option hedge_share, from the optional table `hedging` of the settings file. Decision, timing and allowance are in coordination/second_attempts; without the option, hedges are as before.

--- a/tanagerspoke/coordination/call_attempts.py
+++ b/tanagerspoke/coordination/call_attempts.py
@@ -17,12 +17,15 @@
         started_at: monotonic seconds.
         saturated: whether nearly all slots of the upstream were in use after
             it started.
+        host_slowness: slowness of the host by a fresh report at the start, 1
+            where it was not known.
     """
 
     record: loads.UpstreamLoad
     started_at: float
     is_hedge: bool
     saturated: bool = False
+    host_slowness: float = 1.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/tanagerspoke/coordination/probe_rounds.py
+++ b/tanagerspoke/coordination/probe_rounds.py
@@ -136,6 +136,13 @@
         self._refilled_at = now
 
 
+def fresh_host_slowness(record: loads.UpstreamLoad, now: float) -> float:
+    """Returns the host's slowness by a fresh report, 1 without one."""
+    if record.report_age_s(now) > MAX_FRESH_AGE_S:
+        return 1.0
+    return record.host_slowness
+
+
 def is_fast(record: loads.UpstreamLoad, now: float) -> bool:
     """Returns whether a fresh report shows that the host is fast."""
     return (
--- a/tanagerspoke/coordination/retry_budget.py
+++ b/tanagerspoke/coordination/retry_budget.py
@@ -60,14 +60,18 @@
         self._calls.append(now)
         self._drop_expired(self._calls, now)
 
-    def remaining(self, now: float) -> float:
-        """Returns the number of extra attempts that may be sent now."""
+    def allowed(self, now: float) -> float:
+        """Returns the number of extra attempts allowed in this window."""
         self._drop_expired(self._calls, now)
-        self._drop_expired(self._extra_attempts, now)
         allowed = self._ratio * len(self._calls)
         if self._nodes and now >= self._shared_extra_from:
             allowed += self._shared_extra / self._nodes
-        return _USABLE_SHARE * allowed - len(self._extra_attempts)
+        return _USABLE_SHARE * allowed
+
+    def remaining(self, now: float) -> float:
+        """Returns the number of extra attempts that may be sent now."""
+        self._drop_expired(self._extra_attempts, now)
+        return self.allowed(now) - len(self._extra_attempts)
 
     def spend(self, now: float, *, reserve: float = 0.0) -> bool:
         """Counts an extra attempt if the budget, less `reserve`, allows it.
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -14,6 +14,7 @@
 from tanagerspoke.coordination import route_statistics
 from tanagerspoke.coordination import subsetting
 from tanagerspoke.coordination import target_queue
+from tanagerspoke.coordination.second_attempts import decisions
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import randomness
@@ -48,6 +49,8 @@
 # Delay until a hedge that could not be sent is tried again.
 _HEDGE_RECHECK_S = probe_rounds.ROUND_DURATION_S
 _MAX_HEDGE_TRIES = 5
+# Delay until a hedge is tried again after that many, where their share is set.
+_HEDGE_PAUSE_S = 0.1
 # The load of upstreams is partly an estimate, so emptier ones are safer.
 _ESTIMATED_UTILIZATION_WEIGHT = 8.0
 # The load in fresh reports is exact, so calls in flight are a small risk.
@@ -80,6 +83,7 @@
         nodes: int = 1,
         node: str = "",
         gate: dispatch_gate.CombinedGate | None = None,
+        hedge_share: float | None = None,
     ) -> None:
         """Creates a scheduler without upstreams.
 
@@ -93,6 +97,8 @@
             nodes: live nodes that share the upstreams.
             node: name of this node, which decides which upstreams it prefers.
             gate: passed by each attempt immediately before it is sent.
+            hedge_share: hedges per call that may be repeated, 0 to 1; None
+                where only the budget limits them.
         """
         self._gate = gate or dispatch_gate.CombinedGate(parts=())
         self._node = node
@@ -117,6 +123,8 @@
         self._calls = call_attempts.OpenCalls()
         self._local_in_flight = 0
         self._recheck_at: float | None = None
+        self._second_attempts: decisions.SecondAttempts | None = None
+        self.set_hedge_share(hedge_share)
 
     @property
     def next_wakeup(self) -> float | None:
@@ -137,6 +145,24 @@
         """Sets the number of live nodes that share the upstreams."""
         self._nodes = max(1, gateways)
 
+    @property
+    def hedges_left(self) -> float | None:
+        """Hedges that the share allows now; None without a share."""
+        if self._second_attempts is None:
+            return None
+        return self._second_attempts.allowance.remaining
+
+    def set_hedge_share(self, share: float | None) -> None:
+        """Sets the hedges per call that may be repeated; see `__init__`."""
+        if share is None:
+            self._second_attempts = None
+        elif self._second_attempts is None:
+            self._second_attempts = decisions.SecondAttempts(
+                share=share, statistics=self._statistics
+            )
+        else:
+            self._second_attempts.allowance.set_share(share)
+
     def would_refuse(
         self, *, call: calls.Call, now: float
     ) -> calls.Refuse | None:
@@ -301,6 +327,7 @@
         fast_only: bool = False,
         use_fair_share: bool = False,
         max_utilization: float | None = None,
+        for_second_attempt: bool = False,
     ) -> loads.UpstreamLoad | None:
         tried = state.tried
         # A retry may use an upstream again if there is no other. A hedge may
@@ -338,22 +365,28 @@
                 if fast_only
                 else None
             ),
-            accept=self._acceptance(now, fast_only=fast_only),
+            accept=self._acceptance(
+                now, fast_only=fast_only, for_second_attempt=for_second_attempt
+            ),
         )
 
     def _acceptance(
-        self, now: float, *, fast_only: bool
+        self, now: float, *, fast_only: bool, for_second_attempt: bool = False
     ) -> Callable[[loads.UpstreamLoad], bool] | None:
         """Returns the condition that an upstream must meet, or None."""
-        if self._gate.is_open:
+        if self._gate.is_open and not for_second_attempt:
             if not fast_only:
                 return None
             return functools.partial(probe_rounds.is_fast, now=now)
 
         def accept(record: loads.UpstreamLoad) -> bool:
-            return (
-                not fast_only or probe_rounds.is_fast(record, now)
-            ) and self._gate.admits(record.upstream, now)
+            if fast_only and not probe_rounds.is_fast(record, now):
+                return False
+            if for_second_attempt and not decisions.may_get_second_attempt(
+                record
+            ):
+                return False
+            return self._gate.admits(record.upstream, now)
 
         return accept
 
@@ -382,7 +415,10 @@
             started_at=now,
             is_hedge=is_hedge,
             saturated=in_flight / record.slots > _MAX_UNSATURATED_UTILIZATION,
+            host_slowness=probe_rounds.fresh_host_slowness(record, now),
         )
+        if self._second_attempts is not None and attempt == 1:
+            self._second_attempts.record_dispatch(state=state, now=now)
         upstream_id = record.upstream.upstream_id
         self._gate.record_dispatch(record.upstream, now)
         state.tried += (upstream_id,)
@@ -468,6 +504,8 @@
         sent = not isinstance(result, calls.NotSent)
         if sent and not self._budget.spend(now):
             return False
+        if sent and self._second_attempts is not None:
+            self._second_attempts.record_retry(state.call)
         self._enqueue(state, now)
         return True
 
@@ -506,6 +544,8 @@
         for queued_call in self._queue.pop_expired(now):
             state = self._calls[queued_call.call.call_id]
             state.queued = False
+            if self._second_attempts is not None:
+                self._second_attempts.record_expiry()
             self._end_unsuccessfully(state, now, actions)
         self._refuse_unservable(now, actions)
         if len(self._queue):
@@ -588,6 +628,13 @@
         self, state: call_attempts.CallState, now: float
     ) -> None:
         call = state.call
+        if self._second_attempts is not None:
+            (attempt,) = state.attempts.values()
+            self._follow_decision(
+                state,
+                self._second_attempts.first_look(call=call, attempt=attempt),
+            )
+            return
         at = now + self._statistics.quantile_s(call, _HEDGE_QUANTILE)
         expected_s = self._statistics.quantile_s(
             call, refusals.EXPECTED_DURATION_QUANTILE
@@ -615,6 +662,9 @@
             return
         if self._gate.check(call, now) is not None:
             return
+        if self._second_attempts is not None:
+            self._consider_second_attempt(state, attempt, now, actions)
+            return
         # A queue means saturation: a hedge would take a queued call's slot.
         if not len(self._queue) and self._send_hedge(state, now, actions):
             return
@@ -622,22 +672,60 @@
         if now < late_hedge_at < call.deadline:
             self._calls.schedule_hedge(state, late_hedge_at)
 
+    def _consider_second_attempt(
+        self,
+        state: call_attempts.CallState,
+        attempt: call_attempts.Attempt,
+        now: float,
+        actions: list[calls.SchedulerAction],
+    ) -> None:
+        """Considers a hedge where their share is set."""
+        decision = self._second_attempts.decide(
+            call=state.call,
+            attempt=attempt,
+            waiting_since=min(
+                (s.queued_at for s in self._queued_states()), default=None
+            ),
+            now=now,
+        )
+        if isinstance(decision, decisions.SendNow):
+            reserve = self._second_attempts.reserved_for_retries(
+                self._budget.allowed(now)
+            )
+            if self._send_hedge(state, now, actions, reserve=reserve):
+                return
+            decision = decisions.ConsiderAt(at=now + _HEDGE_PAUSE_S)
+        self._follow_decision(state, decision)
+
+    def _follow_decision(
+        self, state: call_attempts.CallState, decision: decisions.Decision
+    ) -> None:
+        match decision:
+            case decisions.ConsiderAt(at=at) if at < state.call.deadline:
+                self._calls.schedule_hedge(state, at)
+
     def _send_hedge(
         self,
         state: call_attempts.CallState,
         now: float,
         actions: list[calls.SchedulerAction],
+        *,
+        reserve: float = _RESERVED_FOR_RETRIES,
     ) -> bool:
         """Returns whether a hedge was sent or another try was scheduled."""
-        if self._budget.remaining(now) <= _RESERVED_FOR_RETRIES:
+        if self._budget.remaining(now) <= reserve:
             return False
         fast_only = self._probes.reports_load
         record = self._choose_upstream(
-            state, now, need_free_slot=True, fast_only=fast_only
+            state,
+            now,
+            need_free_slot=True,
+            fast_only=fast_only,
+            for_second_attempt=self._second_attempts is not None,
         )
-        if record is not None and self._budget.spend(
-            now, reserve=_RESERVED_FOR_RETRIES
-        ):
+        if record is not None and self._budget.spend(now, reserve=reserve):
+            if self._second_attempts is not None:
+                self._second_attempts.allowance.spend()
             self._dispatch(state, record, now, actions, is_hedge=True)
             return True
         state.hedge_tries += 1
--- a/tanagerspoke/coordination/route_statistics.py
+++ b/tanagerspoke/coordination/route_statistics.py
@@ -49,6 +49,10 @@
             quantile, target_s=target_at - call.arrived_at
         )
 
+    def has_enough_samples(self, call: calls.Call) -> bool:
+        """Returns whether quantiles of the call's route are measured."""
+        return self._durations_for(call).has_enough_samples
+
     def may_use_last_slot(self, draw: float) -> bool:
         """Returns whether a call may take an upstream's last slot.
 
--- a/tanagerspoke/platform/boot.py
+++ b/tanagerspoke/platform/boot.py
@@ -64,6 +64,14 @@
     max_fds: Annotated[int, pydantic.Field(ge=0)] = 0
 
 
+class _Hedging(pydantic.BaseModel):
+    # Second attempts of all nodes together, as a share of the calls that may be
+    # repeated. Without it, only the retry budget limits them.
+    max_share: (
+        Annotated[float, pydantic.Field(ge=0, le=1, strict=True)] | None
+    ) = None
+
+
 class _Platform(pydantic.BaseModel):
     # Address and port of the platform's store.
     address: str
@@ -87,6 +95,8 @@
     seeds: tuple[str, ...] = ()
     limits: _Limits
     bounds: _Bounds
+    # Written by the operators; the platform passes it on.
+    hedging: _Hedging = _Hedging()
     platform: _Platform
 
 
@@ -152,6 +162,7 @@
         revocation=_revocation(bounds),
         usage_limits=_usage_limits(bounds),
         cold_upstreams=_cold_upstreams(bounds),
+        hedge_share=boot.hedging.max_share,
         memory_bytes=int(boot.limits.memory_mb * _BYTES_PER_MB),
         max_descriptors=boot.limits.max_fds,
     )
--- a/tanagerspoke/settings/edge.py
+++ b/tanagerspoke/settings/edge.py
@@ -92,6 +92,9 @@
         revocation: None where keys have no strict revocation.
         usage_limits: None where client accounts have no usage limits.
         cold_upstreams: None where cold upstreams have no rate limit.
+        hedge_share: second attempts (hedges) of all nodes together, as a share
+            of the calls that may be repeated; None where only the retry budget
+            limits them.
         memory_bytes: memory of the process, 0 where it is not known.
         max_descriptors: file descriptors of the process, 0 where the number
             is not known.
@@ -117,5 +120,6 @@
     revocation: Revocation | None = None
     usage_limits: UsageLimits | None = None
     cold_upstreams: ColdUpstreams | None = None
+    hedge_share: Annotated[float, pydantic.Field(ge=0, le=1)] | None = None
     memory_bytes: Annotated[int, pydantic.Field(ge=0)] = 0
     max_descriptors: Annotated[int, pydantic.Field(ge=0)] = 0
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -112,6 +112,7 @@
         self._has_upstream_list = False
         self._node_count: int | None = None
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._schedulers: dict[str, route_scheduling.RouteScheduler] = {}
         self._dispatchers: dict[str, dispatcher.ServiceDispatcher] = {}
         registry = prometheus_client.CollectorRegistry()
         self._metrics = edge_metrics.EdgeMetrics(registry=registry)
@@ -230,6 +231,8 @@
                 shared_extra=cfg.retry_budget.shared_extra,
                 window_s=cfg.retry_budget.window_s,
             )
+        for scheduler in self._schedulers.values():
+            scheduler.set_hedge_share(cfg.hedge_share)
         log.info("settings_reloaded", extra={"changed": changed})
 
     @mode.Service.task
@@ -370,7 +373,9 @@
             rng=self._rng,
             nodes=self._node_count or 1,
             node=self._cfg.node,
+            hedge_share=self._cfg.hedge_share,
         )
+        self._schedulers[service] = scheduler
         created = dispatcher.ServiceDispatcher(
             scheduler=scheduler,
             client=self._upstream_client,
@@ -388,6 +393,7 @@
             in_flight=lambda: created.in_flight,
             queue_length=lambda: scheduler.queue_length,
             retry_budget_left=lambda: budget.remaining(time.monotonic()),
+            hedges_left=lambda: scheduler.hedges_left,
         )
         created.set_upstreams(self._upstreams.get(service, ()))
         self._dispatchers[service] = created
--- a/tanagerspoke/transport/operations/edge_metrics.py
+++ b/tanagerspoke/transport/operations/edge_metrics.py
@@ -169,6 +169,11 @@
             "Repeats that may still be sent in this window",
             ("service",),
         )
+        self._hedges_left = gauge(
+            "tanagerspoke_edge_hedges_left",
+            "Second attempts that the share of the operators allows now",
+            ("service",),
+        )
         self.unreadable_rows = counter(
             "tanagerspoke_edge_unreadable_rows",
             "Rows of the store that held no valid entry when they were read",
@@ -189,11 +194,19 @@
         in_flight: Callable[[], int],
         queue_length: Callable[[], int],
         retry_budget_left: Callable[[], float],
+        hedges_left: Callable[[], float | None],
     ) -> None:
         """Registers functions that supply the gauges of a service.
 
-        They are called whenever the metrics are collected.
+        They are called whenever the metrics are collected. Without a share of
+        second attempts, `hedges_left` returns None, which is shown as NaN.
         """
+
+        def read_hedges_left() -> float:
+            left = hedges_left()
+            return float("nan") if left is None else left
+
+        self._hedges_left.labels(service).set_function(read_hedges_left)
         self._in_flight.labels(service).set_function(in_flight)
         self._queue_length.labels(service).set_function(queue_length)
         self._retry_budget_left.labels(service).set_function(retry_budget_left)
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -121,3 +121,23 @@
         COMPLETE_FILE.replace("[platform]", "revoke_s = 5\n[platform]")
     )
     assert boot.load(path).revocation is None
+
+
+def test_share_of_second_attempts(tmp_path: pathlib.Path) -> None:
+    """Guards against a share that is read wrongly or set without a table."""
+    path = tmp_path / "boot.toml"
+    path.write_text(COMPLETE_FILE)
+    assert boot.load(path).hedge_share is None
+    path.write_text(COMPLETE_FILE + "[hedging]\nmax_share = 0.05\n")
+    assert boot.load(path).hedge_share == 0.05
+
+
+@pytest.mark.parametrize("value", ["-0.1", "1.5", "nan", '"0.05"', "true"])
+def test_invalid_share_of_second_attempts(
+    tmp_path: pathlib.Path, value: str
+) -> None:
+    """Guards against a limit that is out of range or not a number."""
+    path = tmp_path / "boot.toml"
+    path.write_text(COMPLETE_FILE + f"[hedging]\nmax_share = {value}\n")
+    with pytest.raises(exceptions.SettingsError, match="hedging.max_share"):
+        boot.load(path)
