Add tanagerspokectl where: explain where a call would go now

Cause: operators can't see why an edge would send a request to one upstream, let it wait or refuse it, without sending one. Ruled out: a copy of the whole scheduler that runs the call (gate parts hold references to I/O, and a copy of a long queue blocks the loop), and a second implementation of the choice, which would drift from the first. Change: GET /where on the metrics port, and a command with readable and JSON output. One function of the balancer gives an upstream's exclusion or cost to both the choice and the explanation; refusals and return times have previews that take no place. A service without calls is explained with a scheduler that is not kept.

--- a/tanagerspoke/commands/tanagerspokectl.py
+++ b/tanagerspoke/commands/tanagerspokectl.py
@@ -8,6 +8,7 @@
 from tanagerspoke.commands import drain
 from tanagerspoke.commands import status
 from tanagerspoke.commands import validate
+from tanagerspoke.commands import where
 
 app = cyclopts.App(name="tanagerspokectl", version=tanagerspoke.__version__)
 app.command(validate.validate)
@@ -15,6 +16,7 @@
 app.command(apply.apply)
 app.command(status.status)
 app.command(drain.drain)
+app.command(where.where)
 
 
 def main() -> None:
--- a/tanagerspoke/coordination/balancing.py
+++ b/tanagerspoke/coordination/balancing.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Container
 
 from tanagerspoke.protocol import calls
+from tanagerspoke.protocol import placement
 from tanagerspoke.protocol import randomness
 from tanagerspoke.state import loads
 
@@ -31,6 +32,16 @@
 # be idle whenever an estimate is too high; with a large share, one process
 # would use the slots of the others.
 _MAX_BACKLOG_SHARE = 0.1
+# Looked up once, since `_assess` runs for each candidate of each choice.
+_OWN_CALLS_FILL_IT = placement.Exclusion.OWN_CALLS_FILL_IT
+_EJECTED = placement.Exclusion.EJECTED
+_PAUSED = placement.Exclusion.PAUSED
+_RAMPING_UP = placement.Exclusion.RAMPING_UP
+_ALREADY_TRIED = placement.Exclusion.ALREADY_TRIED
+_NOT_ACCEPTED = placement.Exclusion.NOT_ACCEPTED
+_FULL = placement.Exclusion.FULL
+_TOO_BUSY = placement.Exclusion.TOO_BUSY
+_SLOW = placement.Exclusion.SLOW
 
 
 class Balancer:
@@ -90,49 +101,24 @@
         rng_random = self._rng.random
         mean_remote = self._view.mean_remote_in_flight
         trust = self._view.report_trust
-        # A single upstream could only be compared with itself.
-        single_call_slowness = (
-            _SINGLE_CALL_SLOWNESS
-            if len(self._view.eligible) > 1
-            else float("inf")
-        )
+        single_call_slowness = self._single_call_slowness()
         for record in self._candidates() if candidates is None else candidates:
-            if _is_excluded(record, now, tried, accept):
-                continue
-            slots = record.slots
-            utilization = (
-                record.in_flight(
-                    now=now, mean_remote_in_flight=mean_remote, trust=trust
-                )
-                / slots
+            score = _assess(
+                record,
+                now,
+                tried,
+                accept,
+                mean_remote,
+                trust,
+                need_free_slot,
+                use_fair_share,
+                max_utilization,
+                single_call_slowness,
+                utilization_weight,
+                is_pull,
             )
-            has_free_slot = utilization + 0.5 / slots <= 1.0
-            if not has_free_slot and (
-                need_free_slot
-                or (
-                    not use_fair_share
-                    and utilization >= 1.0 + _MAX_BACKLOG_SHARE
-                )
-            ):
-                continue
-            if (
-                max_utilization is not None
-                and utilization + 1.0 / slots > max_utilization
-            ):
+            if score.__class__ is placement.Exclusion:
                 continue
-            slowness = record.current_slowness(now)
-            if slowness > single_call_slowness and record.local_in_flight:
-                continue
-            slowness *= record.current_host_slowness(now)
-            score = slowness * (
-                1.0 + utilization_weight * utilization * utilization
-            )
-            if not has_free_slot:
-                score *= 1.0 + utilization
-            if is_pull:
-                score *= (1.0 + record.local_pulls) * (
-                    1.0 + _PULL_UTILIZATION_WEIGHT * utilization
-                )
             score *= 1.0 + _SCORE_JITTER * rng_random()
             score *= typical_latency_s
             zone = record.upstream.availability_zone
@@ -143,6 +129,57 @@
                 best_score = score
         return best
 
+    def assess(
+        self,
+        *,
+        call_class: calls.CallClass,
+        typical_latency_s: float,
+        now: float,
+        tried: Container[str] = (),
+        use_fair_share: bool = False,
+        need_free_slot: bool = False,
+        max_utilization: float | None = None,
+        utilization_weight: float = _UTILIZATION_WEIGHT,
+        accept: Callable[[loads.UpstreamLoad], bool] | None = None,
+    ) -> dict[str, placement.Exclusion | float]:
+        """Returns what `choose` makes of each upstream, by its id.
+
+        That is the reason why it is left out, or its expected cost in seconds
+        without the random factor. No state changes, also not that of the
+        random generator. Upstreams that may get no calls are not included.
+
+        Args: as those of `choose`.
+        """
+        assessments: dict[str, placement.Exclusion | float] = {}
+        for record in self._view.eligible:
+            score = _assess(
+                record,
+                now,
+                tried,
+                accept,
+                self._view.mean_remote_in_flight,
+                self._view.report_trust,
+                need_free_slot,
+                use_fair_share,
+                max_utilization,
+                self._single_call_slowness(),
+                utilization_weight,
+                call_class is calls.CallClass.PULL,
+            )
+            if not isinstance(score, placement.Exclusion):
+                score *= typical_latency_s
+                zone = record.upstream.availability_zone
+                if zone != self._availability_zone:
+                    score += self._cross_zone_penalty_s
+            assessments[record.upstream.upstream_id] = score
+        return assessments
+
+    def _single_call_slowness(self) -> float:
+        # A single upstream could only be compared with itself.
+        if len(self._view.eligible) > 1:
+            return _SINGLE_CALL_SLOWNESS
+        return float("inf")
+
     def _candidates(self) -> list[loads.UpstreamLoad]:
         records = self._view.eligible
         if len(records) <= _MAX_CANDIDATES:
@@ -150,22 +187,62 @@
         return self._rng.sample(records, _MAX_CANDIDATES)
 
 
-def _is_excluded(
+# Called for each candidate of each choice: positional parameters, and a plain
+# number as the result, keep it as fast as a loop body.
+def _assess(
     record: loads.UpstreamLoad,
     now: float,
     tried: Container[str],
     accept: Callable[[loads.UpstreamLoad], bool] | None,
-) -> bool:
-    """Returns whether this process may not send the upstream a call now."""
+    mean_remote_in_flight: float,
+    trust: float,
+    need_free_slot: bool,
+    use_fair_share: bool,
+    max_utilization: float | None,
+    single_call_slowness: float,
+    utilization_weight: float,
+    is_pull: bool,
+) -> placement.Exclusion | float:
+    """Returns why the upstream gets no call now, or its relative cost."""
     if record.local_in_flight >= record.slots:
-        return True
+        return _OWN_CALLS_FILL_IT
     if record.ejected_until > now or record.paused_until > now:
-        return True
+        return _EJECTED if record.ejected_until > now else _PAUSED
     if (
         record.ramp_starts_at is not None
         and record.local_in_flight >= record.attempt_limit(now)
     ):
-        return True
+        return _RAMPING_UP
     if tried and record.upstream.upstream_id in tried:
-        return True
-    return accept is not None and not accept(record)
+        return _ALREADY_TRIED
+    if accept is not None and not accept(record):
+        return _NOT_ACCEPTED
+    slots = record.slots
+    utilization = (
+        record.in_flight(
+            now=now, mean_remote_in_flight=mean_remote_in_flight, trust=trust
+        )
+        / slots
+    )
+    has_free_slot = utilization + 0.5 / slots <= 1.0
+    if not has_free_slot and (
+        need_free_slot
+        or (not use_fair_share and utilization >= 1.0 + _MAX_BACKLOG_SHARE)
+    ):
+        return _FULL
+    if (
+        max_utilization is not None
+        and utilization + 1.0 / slots > max_utilization
+    ):
+        return _TOO_BUSY
+    slowness = record.current_slowness(now)
+    if slowness > single_call_slowness and record.local_in_flight:
+        return _SLOW
+    slowness *= record.current_host_slowness(now)
+    score = slowness * (1.0 + utilization_weight * utilization * utilization)
+    score *= 1.0 if has_free_slot else 1.0 + utilization
+    if is_pull:
+        score *= (1.0 + record.local_pulls) * (
+            1.0 + _PULL_UTILIZATION_WEIGHT * utilization
+        )
+    return score
--- /dev/null
+++ b/tanagerspoke/coordination/placements/__init__.py
@@ -0,0 +1,1 @@
+"""Explanations of where calls would go."""
--- a/tanagerspoke/coordination/refusals.py
+++ b/tanagerspoke/coordination/refusals.py
@@ -4,6 +4,7 @@
 from tanagerspoke.coordination import route_statistics
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
+from tanagerspoke.protocol import placement
 from tanagerspoke.protocol import randomness
 from tanagerspoke.state import loads
 
@@ -93,15 +94,8 @@
                 time.
             now: monotonic seconds.
         """
-        interval_s = self._statistics.quantile_s(call, 0.5) / max(
-            1.0, parallel_calls
-        )
-        if not self._view.eligible:
-            first_at = now + _NO_UPSTREAM_RETRY_AFTER_S
-        else:
-            first_at = self._view.paused_until(now) or now + min(
-                _MAX_QUEUE_WAIT_S, queued_calls * interval_s
-            )
+        interval_s = self._interval_s(call, parallel_calls)
+        first_at = self._first_return_at(interval_s, queued_calls, now)
         delay_s = 0.0
         # A caller of a node that stops is served by another one.
         if code is not errors.ErrorCode.STOPPING:
@@ -117,3 +111,42 @@
             code=code,
             retry_after_s=max(_MIN_RETRY_AFTER_S, delay_s) * factor,
         )
+
+    def preview(
+        self,
+        call: calls.Call,
+        code: errors.ErrorCode,
+        *,
+        queued_calls: int,
+        parallel_calls: float,
+        now: float,
+    ) -> placement.Refusal:
+        """Returns what `refuse` would state; changes no state."""
+        delay_s = 0.0
+        if code is not errors.ErrorCode.STOPPING:
+            delay_s = self._return_times.preview_delay_s(
+                priority=call.priority,
+                first_at=self._first_return_at(
+                    self._interval_s(call, parallel_calls), queued_calls, now
+                ),
+                now=now,
+            )
+        delay_s = max(_MIN_RETRY_AFTER_S, delay_s)
+        return placement.Refusal(
+            code=code.value,
+            status=errors.status_of(code),
+            retry_after_s=delay_s,
+            max_retry_after_s=delay_s * _MAX_RETURN_FACTOR,
+        )
+
+    def _interval_s(self, call: calls.Call, parallel_calls: float) -> float:
+        return self._statistics.quantile_s(call, 0.5) / max(1.0, parallel_calls)
+
+    def _first_return_at(
+        self, interval_s: float, queued_calls: int, now: float
+    ) -> float:
+        if not self._view.eligible:
+            return now + _NO_UPSTREAM_RETRY_AFTER_S
+        return self._view.paused_until(now) or now + min(
+            _MAX_QUEUE_WAIT_S, queued_calls * interval_s
+        )
--- a/tanagerspoke/coordination/return_times.py
+++ b/tanagerspoke/coordination/return_times.py
@@ -35,10 +35,18 @@
             for rank, until in self._taken_until.items()
             if until > now
         }
+        delay_s = self.preview_delay_s(
+            priority=priority, first_at=first_at, now=now
+        )
+        self._taken_until[priority] = now + delay_s + interval_s
+        return delay_s
+
+    def preview_delay_s(
+        self, *, priority: int, first_at: float, now: float
+    ) -> float:
+        """Returns what `next_delay_s` would return; takes no place."""
         start = max(now, first_at)
         for rank, until in self._taken_until.items():
             if rank <= priority:
                 start = max(start, until)
-        start = min(start, max(now, first_at) + _MAX_PLANNED_S)
-        self._taken_until[priority] = start + interval_s
-        return start - now
+        return min(start, max(now, first_at) + _MAX_PLANNED_S) - now
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import functools
 import math
+from typing import Any
 
 from tanagerspoke.coordination import balancing
 from tanagerspoke.coordination import call_attempts
@@ -14,9 +15,11 @@
 from tanagerspoke.coordination import route_statistics
 from tanagerspoke.coordination import subsetting
 from tanagerspoke.coordination import target_queue
+from tanagerspoke.coordination.placements import candidates
 from tanagerspoke.coordination.second_attempts import decisions
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
+from tanagerspoke.protocol import placement
 from tanagerspoke.protocol import randomness
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.state import loads
@@ -41,6 +44,11 @@
 # upstream counts as nearly idle: one slot of three or four. Late calls wait for
 # such an upstream.
 _LATE_CALL_MAX_UTILIZATION = 0.4
+# Options of the choice once a call no longer waits for a fast host.
+_CHOICE_AFTER_WAIT = {"max_utilization": _LATE_CALL_MAX_UTILIZATION}
+# Draw that stands for most of those by which some calls take the last slot of
+# an upstream.
+_USUAL_DRAW = 1.0
 # A call that can no longer meet its target stays queued for at most this share
 # of its target latency; it is then refused with a delay before a retry.
 _MAX_LATE_WAIT_SHARE = 0.5
@@ -167,18 +175,24 @@
         self, *, call: calls.Call, now: float
     ) -> calls.Refuse | None:
         """Returns the refusal that the call would get now, or None."""
+        code = self._refusal_code(call, now)
+        return None if code is None else self._refusal(call, code, now)
+
+    def _refusal_code(
+        self, call: calls.Call, now: float
+    ) -> errors.ErrorCode | None:
         if now >= call.deadline:
-            return self._refusal(call, errors.ErrorCode.QUEUE_TIMEOUT, now)
+            return errors.ErrorCode.QUEUE_TIMEOUT
         code = self._gate.check(call, now)
         if code is None:
             code = self._refusals.unservable_code(call, now)
         if code is not None:
-            return self._refusal(call, code, now)
+            return code
         limit = max(
             _MIN_QUEUE_LIMIT, _MAX_QUEUED_PER_SLOT * self._view.total_slots
         )
         if len(self._queue) >= limit:
-            return self._refusal(call, errors.ErrorCode.QUEUE_FULL, now)
+            return errors.ErrorCode.QUEUE_FULL
         return None
 
     def _refusal(
@@ -188,9 +202,53 @@
             call,
             code,
             queued_calls=len(self._queue),
-            parallel_calls=max(
-                self._local_in_flight, self._view.total_slots / self._nodes
+            parallel_calls=self._parallel_calls,
+            now=now,
+        )
+
+    @property
+    def _parallel_calls(self) -> float:
+        return max(self._local_in_flight, self._view.total_slots / self._nodes)
+
+    def explain(
+        self, *, call: calls.Call, now: float
+    ) -> placement.ServicePlacement:
+        """Returns where a call that arrives now would go; changes no state."""
+        state = call_attempts.CallState(
+            call=call, attempts={}, queued=True, queued_at=now
+        )
+        queued_call = self._queued_call(state, now)
+        assess = functools.partial(
+            self._choose_upstream, state, now, select=self._balancer.assess
+        )
+        first = assess(**self._first_choice(queued_call, now))
+        after_wait = first
+        if self._probes.reports_load:
+            after_wait = assess(**_CHOICE_AFTER_WAIT)
+        code = self._refusal_code(call, now)
+        refusal = None
+        if code is not None:
+            refusal = self._refusals.preview(
+                call,
+                code,
+                queued_calls=len(self._queue),
+                parallel_calls=self._parallel_calls,
+                now=now,
+            )
+        return candidates.describe(
+            view=self._view,
+            gate=self._gate,
+            refusal=refusal,
+            now_assessed=first,
+            after_wait_assessed=after_wait,
+            wait_ends_at=(
+                self._fast_host_wait_end(state, queued_call, now)
+                if self._probes.reports_load
+                else None
             ),
+            expires_at=queued_call.expires_at,
+            queued_calls=len(self._queue),
+            calls_ahead=self._queue.calls_ahead(queued_call, now),
             now=now,
         )
 
@@ -243,22 +301,25 @@
         self._enqueue(state, now)
 
     def _enqueue(self, state: call_attempts.CallState, now: float) -> None:
-        call = state.call
         state.queued = True
         state.queued_at = now
+        self._queue.push(self._queued_call(state, now))
+
+    def _queued_call(
+        self, state: call_attempts.CallState, now: float
+    ) -> target_queue.QueuedCall:
+        call = state.call
         target_at = call.target_at or call.deadline
         latest_start_at = self._refusals.latest_start_at(call)
         expected_s = target_at - latest_start_at
         late_wait_s = _MAX_LATE_WAIT_SHARE * (target_at - call.arrived_at)
-        self._queue.push(
-            target_queue.QueuedCall(
-                call=call,
-                latest_start_at=latest_start_at,
-                expires_at=min(
-                    call.deadline - expected_s,
-                    max(now, latest_start_at) + late_wait_s,
-                ),
-            )
+        return target_queue.QueuedCall(
+            call=call,
+            latest_start_at=latest_start_at,
+            expires_at=min(
+                call.deadline - expected_s,
+                max(now, latest_start_at) + late_wait_s,
+            ),
         )
 
     def _apply_report(
@@ -291,22 +352,28 @@
         which leaves slots to the calls of all nodes that can meet their target.
         """
         state = self._calls[queued_call.call.call_id]
-        if not self._probes.reports_load:
-            return self._choose_upstream(state, now, use_fair_share=True)
-        late = now > queued_call.latest_start_at
-        fast = self._choose_upstream(
-            state,
-            now,
-            fast_only=True,
-            max_utilization=_LATE_CALL_MAX_UTILIZATION if late else None,
+        first = self._choose_upstream(
+            state, now, **self._first_choice(queued_call, now)
         )
-        if fast is not None or now < self._fast_host_wait_end(
-            state, queued_call, now
+        if (
+            first is not None
+            or not self._probes.reports_load
+            or now < self._fast_host_wait_end(state, queued_call, now)
         ):
-            return fast
-        return self._choose_upstream(
-            state, now, max_utilization=_LATE_CALL_MAX_UTILIZATION
-        )
+            return first
+        return self._choose_upstream(state, now, **_CHOICE_AFTER_WAIT)
+
+    def _first_choice(
+        self, queued_call: target_queue.QueuedCall, now: float
+    ) -> dict[str, Any]:
+        """Returns options of `_choose_upstream` for a queued call."""
+        if not self._probes.reports_load:
+            return {"use_fair_share": True}
+        late = now > queued_call.latest_start_at
+        return {
+            "fast_only": True,
+            "max_utilization": _LATE_CALL_MAX_UTILIZATION if late else None,
+        }
 
     def _fast_host_wait_end(
         self,
@@ -328,14 +395,21 @@
         use_fair_share: bool = False,
         max_utilization: float | None = None,
         for_second_attempt: bool = False,
-    ) -> loads.UpstreamLoad | None:
+        select: Callable[..., Any] | None = None,
+    ) -> Any:
+        """Returns what `select` makes of the upstreams.
+
+        That is the chosen upstream or None with `Balancer.choose`, the default,
+        and an explanation with `Balancer.assess`, which uses neither the
+        random generator nor a sample of the upstreams.
+        """
         tried = state.tried
         # A retry may use an upstream again if there is no other. A hedge may
         # not: it would be as slow as the first attempt.
         if not need_free_slot and len(tried) >= len(self._view.eligible):
             tried = ()
         if max_utilization is None and not self._statistics.may_use_last_slot(
-            self._rng.random()
+            self._rng.random() if select is None else _USUAL_DRAW
         ):
             max_utilization = _MAX_UNSATURATED_UTILIZATION
         if use_fair_share:
@@ -343,7 +417,18 @@
             use_fair_share = self._local_in_flight < max(
                 1, math.ceil(total / self._nodes)
             )
-        return self._balancer.choose(
+        # Only upstreams with a fresh report can be known to be fast. They are
+        # few, and a sample of all upstreams would miss most of them.
+        if select is None:
+            select = functools.partial(
+                self._balancer.choose,
+                candidates=self._view.recently_reported(
+                    now=now, max_age_s=probe_rounds.MAX_FRESH_AGE_S
+                )
+                if fast_only
+                else None,
+            )
+        return select(
             call_class=calls.CallClass.LOOKUP,
             typical_latency_s=self._statistics.quantile_s(state.call, 0.5),
             now=now,
@@ -356,15 +441,6 @@
                 if fast_only
                 else _ESTIMATED_UTILIZATION_WEIGHT
             ),
-            # Only upstreams with a fresh report can be known to be fast. They
-            # are few, and a sample of all upstreams would miss most of them.
-            candidates=(
-                self._view.recently_reported(
-                    now=now, max_age_s=probe_rounds.MAX_FRESH_AGE_S
-                )
-                if fast_only
-                else None
-            ),
             accept=self._acceptance(
                 now, fast_only=fast_only, for_second_attempt=for_second_attempt
             ),
--- a/tanagerspoke/coordination/route_statistics.py
+++ b/tanagerspoke/coordination/route_statistics.py
@@ -21,6 +21,8 @@
 _FAST_DROP_WEIGHT = 0.5
 # Bounds the ratios of routes whose median is nearly 0.
 _MIN_MEDIAN_S = 0.001
+# Stands for routes without samples; nothing is added to it.
+_NO_DURATIONS = attempt_durations.AttemptDurations()
 
 
 class RouteStatistics:
@@ -45,13 +47,15 @@
         Until the route has enough samples, it is derived from the target.
         """
         target_at = call.target_at or call.deadline
-        return self._durations_for(call).quantile_s(
+        durations = self._durations_by_route.get(call.route, _NO_DURATIONS)
+        return durations.quantile_s(
             quantile, target_s=target_at - call.arrived_at
         )
 
     def has_enough_samples(self, call: calls.Call) -> bool:
         """Returns whether quantiles of the call's route are measured."""
-        return self._durations_for(call).has_enough_samples
+        durations = self._durations_by_route.get(call.route, _NO_DURATIONS)
+        return durations.has_enough_samples
 
     def may_use_last_slot(self, draw: float) -> bool:
         """Returns whether a call may take an upstream's last slot.
--- a/tanagerspoke/coordination/target_queue.py
+++ b/tanagerspoke/coordination/target_queue.py
@@ -62,6 +62,11 @@
             del self._queued[queued_call.call.call_id]
         return expired
 
+    def calls_ahead(self, queued_call: QueuedCall, now: float) -> int:
+        """Returns the number of calls that go before a call, queued or not."""
+        key = _sort_key(queued_call, now)
+        return sum(_sort_key(c, now) < key for c in self._queued.values())
+
     def order(self, now: float) -> list[QueuedCall]:
         """Returns the queued calls in the order in which they are sent."""
         return sorted(self._queued.values(), key=lambda c: _sort_key(c, now))
--- a/tanagerspoke/state/loads.py
+++ b/tanagerspoke/state/loads.py
@@ -267,6 +267,11 @@
         self._covariance = 0.1
         self.report_trust = 1.0
 
+    @property
+    def listed(self) -> list[UpstreamLoad]:
+        """The upstreams of the current list, also those that are leaving."""
+        return [r for r in self._records.values() if r.listed]
+
     def get(self, upstream_id: str) -> UpstreamLoad | None:
         """Returns the record of an upstream, also of one that is draining."""
         return self._records.get(upstream_id)
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -31,6 +31,7 @@
 from tanagerspoke.transport.operations import graceful_stop
 from tanagerspoke.transport.operations import log_limit
 from tanagerspoke.transport.operations import supervision
+from tanagerspoke.transport.operations import where_service
 from tanagerspoke.transport.peers import zone_feed_service
 from tanagerspoke.transport.store import store_source
 from tanagerspoke.transport.upstreams import dispatcher
@@ -157,12 +158,23 @@
             is_ready=self._is_ready,
             ready_path=adapter.readiness_path,
         )
+        where = where_service.WhereService(
+            node=cfg.node,
+            config_version=lambda: (
+                self._routes.table.version if self._routes.table else None
+            ),
+            find_route=self._find_route,
+            new_call=self._new_call,
+            scheduler=self._scheduler_to_explain,
+            clock=time.monotonic,
+        )
         self._admin = admin_server.AdminServer(
             listen=options.Endpoint(
                 address=cfg.callers.address, port=cfg.metrics_port
             ),
             registry=registry,
             is_ready=self._is_ready,
+            handlers={where_service.PATH: where.serve},
         )
 
     @property
@@ -360,21 +372,7 @@
             return existing
         budget = self._new_retry_budget()
         self._retry_budgets[service] = budget
-        scheduler = route_scheduling.RouteScheduler(
-            availability_zone=self._cfg.availability_zone,
-            cross_zone_penalty_s=_CROSS_ZONE_PENALTY_S,
-            budget=budget,
-            probes=probe_rounds.ProbeRounds(
-                availability_zone=self._cfg.availability_zone,
-                rate_per_upstream_s=(
-                    _PROBE_RATE_SHARE * self._cfg.probes_per_upstream_s
-                ),
-            ),
-            rng=self._rng,
-            nodes=self._node_count or 1,
-            node=self._cfg.node,
-            hedge_share=self._cfg.hedge_share,
-        )
+        scheduler = self._new_scheduler(budget, self._rng)
         self._schedulers[service] = scheduler
         created = dispatcher.ServiceDispatcher(
             scheduler=scheduler,
@@ -399,6 +397,41 @@
         self._dispatchers[service] = created
         return created
 
+    def _new_scheduler(
+        self, budget: retry_budget.RetryBudget, rng: random.Random
+    ) -> route_scheduling.RouteScheduler:
+        return route_scheduling.RouteScheduler(
+            availability_zone=self._cfg.availability_zone,
+            cross_zone_penalty_s=_CROSS_ZONE_PENALTY_S,
+            budget=budget,
+            probes=probe_rounds.ProbeRounds(
+                availability_zone=self._cfg.availability_zone,
+                rate_per_upstream_s=(
+                    _PROBE_RATE_SHARE * self._cfg.probes_per_upstream_s
+                ),
+            ),
+            rng=rng,
+            nodes=self._node_count or 1,
+            node=self._cfg.node,
+            hedge_share=self._cfg.hedge_share,
+        )
+
+    def _scheduler_to_explain(
+        self, service: str
+    ) -> route_scheduling.RouteScheduler:
+        """Returns a service's scheduler, a new one if it had no call yet."""
+        existing = self._schedulers.get(service)
+        if existing is not None:
+            return existing
+        scheduler = self._new_scheduler(
+            self._new_retry_budget(), random.Random()
+        )
+        listed = self._upstreams.get(service, ())
+        scheduler.handle(
+            event=calls.UpstreamsChanged(upstreams=listed), now=time.monotonic()
+        )
+        return scheduler
+
     def _health_path(self, service: str) -> str:
         declared = self._routes.table.services.get(service)
         return declared.health_path if declared is not None else "/"
@@ -456,31 +489,16 @@
             CallRefusedError: the call has certainly not run.
         """
         record = request.record
-        route = self._find_route(request)
+        route = self._find_route(request.host, request.path)
         record.route = route
         record.service = self._routes.choose_service(route)
-        timeout_s = route.timeout_s
-        if request.deadline_s is not None:
-            timeout_s = min(timeout_s, request.deadline_s)
-        record.deadline = record.started_at + timeout_s
-        stops_at = self._graceful_stop.stop_deadline_at
-        if stops_at is not None:
-            stops_at -= _LAST_RESPONSE_RESERVE_S
-            record.deadline = min(record.deadline, stops_at)
-        call = calls.Call(
+        call = self._new_call(
             call_id=record.call_id,
-            client_account="",
-            call_class=calls.CallClass.LOOKUP,
-            idempotent=route.idempotent,
-            arrived_at=record.started_at,
-            deadline=record.deadline,
-            hedge=route.idempotent,
-            route=route.name,
-            target_at=record.started_at + route.target_latency_s,
-            max_attempts=route.max_attempts,
-            priority=route.priority,
-            stops_at=stops_at,
+            route=route,
+            started_at=record.started_at,
+            deadline_s=request.deadline_s,
         )
+        record.deadline = call.deadline
 
         def finish(
             resp: upstream_client.Response | None, exc: Exception | None
@@ -512,7 +530,38 @@
             on_done=finish,
         )
 
-    def _find_route(self, request: caller_calls.CallerRequest) -> routing.Route:
+    def _new_call(
+        self,
+        *,
+        call_id: int,
+        route: routing.Route,
+        started_at: float,
+        deadline_s: float | None,
+    ) -> calls.Call:
+        timeout_s = route.timeout_s
+        if deadline_s is not None:
+            timeout_s = min(timeout_s, deadline_s)
+        deadline = started_at + timeout_s
+        stops_at = self._graceful_stop.stop_deadline_at
+        if stops_at is not None:
+            stops_at -= _LAST_RESPONSE_RESERVE_S
+            deadline = min(deadline, stops_at)
+        return calls.Call(
+            call_id=call_id,
+            client_account="",
+            call_class=calls.CallClass.LOOKUP,
+            idempotent=route.idempotent,
+            arrived_at=started_at,
+            deadline=deadline,
+            hedge=route.idempotent,
+            route=route.name,
+            target_at=started_at + route.target_latency_s,
+            max_attempts=route.max_attempts,
+            priority=route.priority,
+            stops_at=stops_at,
+        )
+
+    def _find_route(self, host: str, path: str) -> routing.Route:
         if self._graceful_stop.listeners_closed:
             raise exceptions.CallRefusedError(
                 code=errors.ErrorCode.STOPPING,
@@ -525,7 +574,7 @@
                 message="this node knows no configuration yet",
                 retry_after_s=_NOT_CONFIGURED_RETRY_AFTER_S,
             )
-        route = self._routes.find(host=request.host, path=request.path)
+        route = self._routes.find(host=host, path=path)
         match route:
             case None:
                 raise exceptions.CallRefusedError(
--- a/tanagerspoke/transport/operations/admin_server.py
+++ b/tanagerspoke/transport/operations/admin_server.py
@@ -1,6 +1,7 @@
 """HTTP server for metrics and health checks."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Mapping
+import types
 
 from aiohttp import web
 import prometheus_client
@@ -15,6 +16,7 @@
         is_ready: returns whether the readiness check succeeds; it responds
             with status 503 otherwise.
         ready_path: path of the readiness check.
+        handlers: handlers of further paths.
     """
 
     def __init__(
@@ -24,11 +26,15 @@
         registry: prometheus_client.CollectorRegistry,
         is_ready: Callable[[], bool],
         ready_path: str = "/readyz",
+        handlers: Mapping[
+            str, Callable[[web.Request], Awaitable[web.Response]]
+        ] = types.MappingProxyType({}),
     ) -> None:
         self._listen = listen
         self._registry = registry
         self._is_ready = is_ready
         self._ready_path = ready_path
+        self._handlers = handlers
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -37,6 +43,8 @@
         app.router.add_get("/metrics", self._serve_metrics)
         app.router.add_get("/healthz", self._serve_health)
         app.router.add_get(self._ready_path, self._serve_readiness)
+        for path, handler in self._handlers.items():
+            app.router.add_get(path, handler)
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
         await web.TCPSite(
