--- a/tests/coordination/test_placements.py
+++ b/tests/coordination/test_placements.py
@@ -38,12 +38,9 @@
             self.explain(call=_call(now), now=now)
         actions = handle(self, event=event, now=now)
         if isinstance(event, calls.CallArrived):
-            pairs.append(
-                (
-                    explanation,
-                    [a for a in actions if _concerns(a, event.call)],
-                )
-            )
+            own_id = event.call.call_id
+            own = [a for a in actions if getattr(a, "call_id", None) == own_id]
+            pairs.append((explanation, own))
         return actions
 
     monkeypatch.setattr(
@@ -52,10 +49,6 @@
     return pairs
 
 
-def _concerns(action: calls.SchedulerAction, call: calls.Call) -> bool:
-    return getattr(action, "call_id", None) == call.call_id
-
-
 def _call(now: float, *, deadline_s: float = 3.0) -> calls.Call:
     return calls.Call(
         call_id=-1,
@@ -132,8 +125,7 @@
 class _RefusingGate(dispatch_gate.DispatchGate):
     """Leaves out `u6` and refuses calls with `code`."""
 
-    def __init__(self) -> None:
-        self.code = None
+    code: errors.ErrorCode | None = None
 
     def check(self, call, now):
         return self.code
--- a/tests/coordination/test_second_attempts.py
+++ b/tests/coordination/test_second_attempts.py
@@ -277,6 +277,15 @@
     assert len(node.dispatches) == 1
 
 
+def test_share_that_is_changed_while_a_call_runs() -> None:
+    """Guards against a changed setting that only new calls follow."""
+    node = _Node(count=3, loads={})
+    node.handle(calls.CallArrived(call=_call(1, 0.0)), 0.0)
+    node.scheduler.set_hedge_share(0.0)
+    node.run(1.9)
+    assert len(node.dispatches) == 1
+
+
 def test_second_attempts_leave_a_part_of_the_budget_to_retries() -> None:
     """Guards against second attempts that use up the budget of retries."""
     node = _Node(count=3, loads={})
--- a/tests/transport/test_edge_service.py
+++ b/tests/transport/test_edge_service.py
@@ -836,6 +836,18 @@
         assert float(store[1]) > 4 * 500
 
 
+async def test_share_of_second_attempts_is_in_force() -> None:
+    """Guards against a share that the settings have and no service uses."""
+    async with edge_stack.run() as cluster:
+        await cluster.wait_ready()
+        async with cluster.add_node(hedge_share=0.5) as node:
+            await node.wait_ready()
+            for stack_, left in ((cluster, "NaN"), (node, "0.5")):
+                assert await _status(stack_.request("GET", "/read/x")) == 200
+                line = f'edge_hedges_left{{service="shop"}} {left}\n'
+                assert line in await _read_metrics(stack_)
+
+
 async def test_incomplete_headers_time_out() -> None:
     """Guards against connections held open by incomplete headers."""
     limits = {
