Explain the choice of an upstream by the steps that decide

Cause: `explain` used options of its own, as dicts of Any. It did not know the room condition, exhausted probes, cold upstreams or the reasons of the gate. Hedges had two rules about cold upstreams.

Change: `UpstreamChoice._steps` yields frozen `Options`; a choice takes the upstream of the first step that finds one, an explanation assesses the same steps. Conditions are a `balancing.Query`, and return why an upstream is left out: zone_evacuated, cold, cold_limit, no_fresh_report, slow_host, or not_admitted. `not_accepted` is gone. The rule for cold upstreams is `ColdChoice.is_cold`; hedges under `hedge_share` also avoid upstreams whose cold period is not limited or only reported with the load, as before.

Ruled out: explaining with a copy of the scheduler, which would have to copy the random generator, the statistics and the queue.

--- a/tanagerspoke/commands/where.py
+++ b/tanagerspoke/commands/where.py
@@ -18,6 +18,10 @@
     placement.Exclusion.DRAINING: "draining, by its own notice or report",
     placement.Exclusion.EJECTED: "ejected after failures",
     placement.Exclusion.PAUSED: "paused, as it asked",
+    placement.Exclusion.ZONE_EVACUATED: "its zone is evacuated",
+    placement.Exclusion.COLD: "cold, and used only for calls that wait",
+    placement.Exclusion.COLD_LIMIT: "cold, and this node may send it none now",
+    placement.Exclusion.NOT_COLD: "not cold",
     placement.Exclusion.NOT_ADMITTED: "not admitted by the gate",
     placement.Exclusion.RAMPING_UP: "ramping up, its attempt limit is reached",
     placement.Exclusion.ALREADY_TRIED: "already tried",
@@ -27,7 +31,6 @@
     placement.Exclusion.SLOW: "slow, and has a call of this node already",
     placement.Exclusion.NO_FRESH_REPORT: "no fresh load report",
     placement.Exclusion.SLOW_HOST: "its host reports being slow",
-    placement.Exclusion.NOT_ACCEPTED: "not accepted",
 }
 
 
--- a/tanagerspoke/coordination/balancing.py
+++ b/tanagerspoke/coordination/balancing.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable, Container
+import dataclasses
 
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import placement
@@ -38,12 +39,45 @@
 _PAUSED = placement.Exclusion.PAUSED
 _RAMPING_UP = placement.Exclusion.RAMPING_UP
 _ALREADY_TRIED = placement.Exclusion.ALREADY_TRIED
-_NOT_ACCEPTED = placement.Exclusion.NOT_ACCEPTED
 _FULL = placement.Exclusion.FULL
 _TOO_BUSY = placement.Exclusion.TOO_BUSY
 _SLOW = placement.Exclusion.SLOW
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Query:
+    """A call that needs an upstream, and which ones it may get.
+
+    Attributes:
+        call_class: pulls prefer upstreams that run few other pulls.
+        typical_latency_s: mean or median attempt duration of calls of this
+            kind.
+        now: monotonic seconds.
+        tried: ids of upstreams to leave out.
+        use_fair_share: also allows upstreams that are estimated to be full,
+            because this process uses less than its fair share of the slots.
+        need_free_slot: leaves out upstreams without a free slot.
+        max_utilization: largest share of an upstream's slots in use, this
+            call included.
+        utilization_weight: weight of the utilization in an upstream's score;
+            lower where calls in flight are known rather than estimated.
+        reject: returns why an upstream is left out, or None; None where no
+            further condition applies.
+    """
+
+    call_class: calls.CallClass
+    typical_latency_s: float
+    now: float
+    tried: Container[str] = ()
+    use_fair_share: bool = False
+    need_free_slot: bool = False
+    max_utilization: float | None = None
+    utilization_weight: float = _UTILIZATION_WEIGHT
+    reject: (
+        Callable[[loads.UpstreamLoad], placement.Exclusion | None] | None
+    ) = None
+
+
 class Balancer:
     """Chooses upstreams for one service."""
 
@@ -70,52 +104,40 @@
         use_fair_share: bool = False,
         need_free_slot: bool = False,
         max_utilization: float | None = None,
-        utilization_weight: float = _UTILIZATION_WEIGHT,
-        candidates: list[loads.UpstreamLoad] | None = None,
-        accept: Callable[[loads.UpstreamLoad], bool] | None = None,
+    ) -> loads.UpstreamLoad | None:
+        """Returns the upstream that `choose_for` returns for such a query."""
+        return self.choose_for(
+            Query(
+                call_class=call_class,
+                typical_latency_s=typical_latency_s,
+                now=now,
+                tried=tried,
+                use_fair_share=use_fair_share,
+                need_free_slot=need_free_slot,
+                max_utilization=max_utilization,
+            )
+        )
+
+    def choose_for(
+        self, query: Query, candidates: list[loads.UpstreamLoad] | None = None
     ) -> loads.UpstreamLoad | None:
         """Returns the upstream with the lowest expected latency, or None.
 
         Args:
-            call_class: pulls prefer upstreams that run few other pulls.
-            typical_latency_s: mean or median attempt duration of calls of this
-                kind.
-            now: monotonic seconds.
-            tried: ids of upstreams to leave out.
-            use_fair_share: also allows upstreams that are estimated to be full,
-                because this process uses less than its fair share of the
-                slots.
-            need_free_slot: leaves out upstreams without a free slot.
-            max_utilization: largest share of an upstream's slots in use, this
-                call included.
-            utilization_weight: weight of the utilization in an upstream's
-                score; lower where calls in flight are known rather than
-                estimated.
+            query: the call and its conditions.
             candidates: upstreams to choose from; by default all that may get
                 calls, or a sample of them if they are many.
-            accept: returns False for upstreams to leave out.
         """
         best = None
         best_score = float("inf")
-        is_pull = call_class is calls.CallClass.PULL
         rng_random = self._rng.random
+        typical_latency_s = query.typical_latency_s
         mean_remote = self._view.mean_remote_in_flight
         trust = self._view.report_trust
         single_call_slowness = self._single_call_slowness()
         for record in self._candidates() if candidates is None else candidates:
             score = _assess(
-                record,
-                now,
-                tried,
-                accept,
-                mean_remote,
-                trust,
-                need_free_slot,
-                use_fair_share,
-                max_utilization,
-                single_call_slowness,
-                utilization_weight,
-                is_pull,
+                record, query, mean_remote, trust, single_call_slowness
             )
             if score.__class__ is placement.Exclusion:
                 continue
@@ -129,45 +151,24 @@
                 best_score = score
         return best
 
-    def assess(
-        self,
-        *,
-        call_class: calls.CallClass,
-        typical_latency_s: float,
-        now: float,
-        tried: Container[str] = (),
-        use_fair_share: bool = False,
-        need_free_slot: bool = False,
-        max_utilization: float | None = None,
-        utilization_weight: float = _UTILIZATION_WEIGHT,
-        accept: Callable[[loads.UpstreamLoad], bool] | None = None,
-    ) -> dict[str, placement.Exclusion | float]:
-        """Returns what `choose` makes of each upstream, by its id.
+    def assess(self, query: Query) -> dict[str, placement.Exclusion | float]:
+        """Returns what `choose_for` makes of each upstream, by its id.
 
         That is the reason why it is left out, or its expected cost in seconds
         without the random factor. No state changes, also not that of the
         random generator. Upstreams that may get no calls are not included.
-
-        Args: as those of `choose`.
         """
         assessments: dict[str, placement.Exclusion | float] = {}
         for record in self._view.eligible:
             score = _assess(
                 record,
-                now,
-                tried,
-                accept,
+                query,
                 self._view.mean_remote_in_flight,
                 self._view.report_trust,
-                need_free_slot,
-                use_fair_share,
-                max_utilization,
                 self._single_call_slowness(),
-                utilization_weight,
-                call_class is calls.CallClass.PULL,
             )
             if not isinstance(score, placement.Exclusion):
-                score *= typical_latency_s
+                score *= query.typical_latency_s
                 zone = record.upstream.availability_zone
                 if zone != self._availability_zone:
                     score += self._cross_zone_penalty_s
@@ -191,19 +192,13 @@
 # number as the result, keep it as fast as a loop body.
 def _assess(
     record: loads.UpstreamLoad,
-    now: float,
-    tried: Container[str],
-    accept: Callable[[loads.UpstreamLoad], bool] | None,
+    query: Query,
     mean_remote_in_flight: float,
     trust: float,
-    need_free_slot: bool,
-    use_fair_share: bool,
-    max_utilization: float | None,
     single_call_slowness: float,
-    utilization_weight: float,
-    is_pull: bool,
 ) -> placement.Exclusion | float:
     """Returns why the upstream gets no call now, or its relative cost."""
+    now = query.now
     if record.local_in_flight >= record.slots:
         return _OWN_CALLS_FILL_IT
     if record.ejected_until > now or record.paused_until > now:
@@ -213,10 +208,10 @@
         and record.local_in_flight >= record.attempt_limit(now)
     ):
         return _RAMPING_UP
-    if tried and record.upstream.upstream_id in tried:
+    if query.tried and record.upstream.upstream_id in query.tried:
         return _ALREADY_TRIED
-    if accept is not None and not accept(record):
-        return _NOT_ACCEPTED
+    if query.reject is not None and (reason := query.reject(record)):
+        return reason
     slots = record.slots
     utilization = (
         record.in_flight(
@@ -226,22 +221,26 @@
     )
     has_free_slot = utilization + 0.5 / slots <= 1.0
     if not has_free_slot and (
-        need_free_slot
-        or (not use_fair_share and utilization >= 1.0 + _MAX_BACKLOG_SHARE)
+        query.need_free_slot
+        or (
+            not query.use_fair_share and utilization >= 1.0 + _MAX_BACKLOG_SHARE
+        )
     ):
         return _FULL
     if (
-        max_utilization is not None
-        and utilization + 1.0 / slots > max_utilization
+        query.max_utilization is not None
+        and utilization + 1.0 / slots > query.max_utilization
     ):
         return _TOO_BUSY
     slowness = record.current_slowness(now)
     if slowness > single_call_slowness and record.local_in_flight:
         return _SLOW
     slowness *= record.current_host_slowness(now)
-    score = slowness * (1.0 + utilization_weight * utilization * utilization)
+    score = slowness * (
+        1.0 + query.utilization_weight * utilization * utilization
+    )
     score *= 1.0 if has_free_slot else 1.0 + utilization
-    if is_pull:
+    if query.call_class is calls.CallClass.PULL:
         score *= (1.0 + record.local_pulls) * (
             1.0 + _PULL_UTILIZATION_WEIGHT * utilization
         )
--- a/tanagerspoke/coordination/cold_upstreams/cold_choice.py
+++ b/tanagerspoke/coordination/cold_upstreams/cold_choice.py
@@ -56,8 +56,26 @@
         """Returns whether an eligible upstream is cold."""
         return self._view.has_cold(now) and self._limits_cold()
 
-    def is_cold(self, record: loads.UpstreamLoad, now: float) -> bool:
-        """Returns whether an upstream is cold."""
+    def is_cold(
+        self,
+        record: loads.UpstreamLoad,
+        now: float,
+        *,
+        include_unlimited: bool = False,
+    ) -> bool:
+        """Returns whether an upstream is cold.
+
+        Args:
+            record: the upstream.
+            now: monotonic seconds.
+            include_unlimited: whether an upstream is also cold if its calls
+                are not limited, or if only its load report says so.
+        """
+        if include_unlimited:
+            return (
+                record.is_cold(now)
+                or record.phase is upstreams.UpstreamPhase.COLD
+            )
         return record.is_cold(now) and self._limits_cold()
 
     def may_use(self, *, queued_at: float, now: float) -> bool:
--- a/tanagerspoke/coordination/cold_upstreams/cold_gate.py
+++ b/tanagerspoke/coordination/cold_upstreams/cold_gate.py
@@ -14,6 +14,7 @@
 from tanagerspoke.coordination.cold_upstreams import ranking
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
+from tanagerspoke.protocol import placement
 from tanagerspoke.protocol import upstreams
 
 # Nodes that use a cold upstream. In one second, they send it at most this
@@ -39,6 +40,8 @@
 class ColdUpstreamGate(dispatch_gate.DispatchGate):
     """Part of the gate that limits the calls to cold upstreams."""
 
+    exclusion = placement.Exclusion.COLD_LIMIT
+
     def __init__(
         self,
         *,
--- a/tanagerspoke/coordination/dispatch_gate.py
+++ b/tanagerspoke/coordination/dispatch_gate.py
@@ -11,6 +11,7 @@
 
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
+from tanagerspoke.protocol import placement
 from tanagerspoke.protocol import upstreams
 
 
@@ -19,9 +20,11 @@
 
     Attributes:
         limits_upstreams: whether `admits` may be false for any upstream.
+        exclusion: why `admits` is false where it is.
     """
 
     limits_upstreams = True
+    exclusion = placement.Exclusion.NOT_ADMITTED
 
     def check(self, call: calls.Call, now: float) -> errors.ErrorCode | None:
         """Returns why the call must not be sent now, or None.
@@ -55,7 +58,16 @@
 
     def admits(self, upstream: upstreams.Upstream, now: float) -> bool:
         """Implements `DispatchGate`."""
-        return all(part.admits(upstream, now) for part in self._parts)
+        return self.why_not_admitted(upstream, now) is None
+
+    def why_not_admitted(
+        self, upstream: upstreams.Upstream, now: float
+    ) -> placement.Exclusion | None:
+        """Returns why the upstream may get no call now, or None."""
+        for part in self._parts:
+            if not part.admits(upstream, now):
+                return part.exclusion
+        return None
 
     def record_dispatch(self, upstream: upstreams.Upstream, now: float) -> None:
         """Implements `DispatchGate`."""
--- a/tanagerspoke/coordination/placements/candidates.py
+++ b/tanagerspoke/coordination/placements/candidates.py
@@ -4,8 +4,6 @@
 import math
 from typing import TypeAlias
 
-from tanagerspoke.coordination import dispatch_gate
-from tanagerspoke.coordination import probe_rounds
 from tanagerspoke.protocol import placement
 from tanagerspoke.state import loads
 
@@ -16,7 +14,6 @@
 def describe(
     *,
     view: loads.LoadView,
-    gate: dispatch_gate.CombinedGate,
     refusal: placement.Refusal | None,
     now_assessed: Assessments,
     after_wait_assessed: Assessments,
@@ -32,7 +29,6 @@
 
     Args:
         view: upstreams of the service.
-        gate: leaves out upstreams for reasons of its own.
         refusal: refusal that the call would get, or None.
         now_assessed: assessments for the choice that is made first.
         after_wait_assessed: assessments for the choice after the wait for a
@@ -51,9 +47,7 @@
     elif upstream_id is not None:
         outcome = placement.Outcome.SEND
     described = [
-        _candidate(
-            record, view, gate, now_assessed, after_wait_assessed, now=now
-        )
+        _candidate(record, view, now_assessed, after_wait_assessed, now=now)
         for record in view.listed
     ]
     described.sort(
@@ -92,7 +86,6 @@
 def _candidate(
     record: loads.UpstreamLoad,
     view: loads.LoadView,
-    gate: dispatch_gate.CombinedGate,
     now_assessed: Assessments,
     after_wait_assessed: Assessments,
     *,
@@ -117,32 +110,23 @@
         report_age_s=age_s if math.isfinite(age_s) else None,
         host_slowness=record.host_slowness,
         slowness=record.current_slowness(now),
-        exclusion=_exclusion(record, gate, now_assessed, now),
-        exclusion_after_wait=_exclusion(record, gate, after_wait_assessed, now),
+        exclusion=_exclusion(record, now_assessed),
+        exclusion_after_wait=_exclusion(record, after_wait_assessed),
         cost_s=None if isinstance(cost_s, placement.Exclusion) else cost_s,
     )
 
 
 def _exclusion(
-    record: loads.UpstreamLoad,
-    gate: dispatch_gate.CombinedGate,
-    assessments: Assessments,
-    now: float,
+    record: loads.UpstreamLoad, assessments: Assessments
 ) -> placement.Exclusion | None:
-    # A part that takes upstreams out of `LoadView.eligible` for a further
-    # reason, such as an evacuated zone, adds it here, and in
-    # `placement.Exclusion`. What a part of the gate leaves out needs nothing.
+    # Upstreams that are not in `LoadView.eligible` are not assessed.
     if record.upstream.leaving:
         return placement.Exclusion.LEAVING
+    if record.evacuated:
+        return placement.Exclusion.ZONE_EVACUATED
     if not record.is_eligible:
         return placement.Exclusion.DRAINING
     assessment = assessments.get(record.upstream.upstream_id)
-    if not isinstance(assessment, placement.Exclusion):
-        return None
-    if assessment is not placement.Exclusion.NOT_ACCEPTED:
+    if isinstance(assessment, placement.Exclusion):
         return assessment
-    if not gate.admits(record.upstream, now):
-        return placement.Exclusion.NOT_ADMITTED
-    if record.report_age_s(now) > probe_rounds.MAX_FRESH_AGE_S:
-        return placement.Exclusion.NO_FRESH_REPORT
-    return placement.Exclusion.SLOW_HOST
+    return None
--- a/tanagerspoke/coordination/placements/upstream_choice.py
+++ b/tanagerspoke/coordination/placements/upstream_choice.py
@@ -1,9 +1,9 @@
 """Chooses the upstream of an attempt: fast hosts first, cold ones last."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+import dataclasses
 import functools
 import math
-from typing import Any
 
 from tanagerspoke.coordination import balancing
 from tanagerspoke.coordination import call_attempts
@@ -12,8 +12,9 @@
 from tanagerspoke.coordination import route_statistics
 from tanagerspoke.coordination import target_queue
 from tanagerspoke.coordination.cold_upstreams import cold_choice
-from tanagerspoke.coordination.second_attempts import decisions
+from tanagerspoke.coordination.placements import candidates
 from tanagerspoke.protocol import calls
+from tanagerspoke.protocol import placement
 from tanagerspoke.protocol import randomness
 from tanagerspoke.state import loads
 
@@ -27,8 +28,6 @@
 # upstream counts as nearly idle: one slot of three or four. Late calls wait for
 # such an upstream.
 _LATE_CALL_MAX_UTILIZATION = 0.4
-# Options of the choice once a call no longer waits for a fast host.
-CHOICE_AFTER_WAIT = {"max_utilization": _LATE_CALL_MAX_UTILIZATION}
 # Draw that stands for most of those by which some calls take the last slot of
 # an upstream.
 _USUAL_DRAW = 1.0
@@ -46,6 +45,32 @@
 MAX_UNSATURATED_UTILIZATION = 0.85
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Options:
+    """Which upstreams one step of a choice considers.
+
+    Attributes:
+        need_free_slot: only those with a free slot that were not tried.
+        fast_only: only those with a fresh report of a fast host.
+        fresh_only: only those with a fresh report.
+        cold_only: only cold ones; otherwise they are left out.
+        avoids_unlimited_cold: also leaves out cold ones whose calls are not
+            limited.
+        use_fair_share: also those that are estimated to be full, while this
+            node uses less than its share of the slots.
+        max_utilization: largest share of the slots in use, the call included;
+            None where only the draw for the last slot limits it.
+    """
+
+    need_free_slot: bool = False
+    fast_only: bool = False
+    fresh_only: bool = False
+    cold_only: bool = False
+    avoids_unlimited_cold: bool = False
+    use_fair_share: bool = False
+    max_utilization: float | None = None
+
+
 class UpstreamChoice:
     """Chooses upstreams for the calls of one service."""
 
@@ -94,194 +119,263 @@
         queued_call: target_queue.QueuedCall,
         now: float,
     ) -> loads.UpstreamLoad | None:
-        """Returns the upstream that a queued call starts on now, or None.
-
-        Calls wait for a fast host. While the service is busy, late calls only
-        use nearly idle upstreams, which leaves slots to the calls of all nodes
-        that can meet their target.
-        """
-        if not self._probes.reports_load:
-            return self.choose(
-                state, now, use_fair_share=True
-            ) or self._choose_cold(state, now, max_utilization=None)
-        late = now > queued_call.latest_start_at
-        has_room = self._has_room()
-        max_utilization = (
-            MAX_UNSATURATED_UTILIZATION
-            if has_room
-            else _LATE_CALL_MAX_UTILIZATION
-        )
-        fast = self.choose(
-            state,
-            now,
-            fast_only=True,
-            max_utilization=max_utilization if late else None,
-        )
-        if fast is not None:
-            return fast
-        # Without a probe the call would wait for nothing: no report could show
-        # it a fast host before it is late.
-        no_probe_in_time = has_room and self._probes.is_exhausted(
-            now=now, until=queued_call.latest_start_at
-        )
-        if not no_probe_in_time and now < self.fast_host_wait_end(
-            state, queued_call, now
+        """Returns the upstream that a queued call starts on now, or None."""
+        for options in self._steps(
+            queued_call,
+            queued_at=state.queued_at,
+            queued_calls=len(self._queue),
+            now=now,
+            at=now,
         ):
-            return self._choose_cold(
-                state,
-                now,
-                fresh_only=True,
-                max_utilization=max_utilization if late else None,
-            )
-        return self.choose(
-            state, now, max_utilization=max_utilization
-        ) or self._choose_cold(state, now, max_utilization=max_utilization)
-
-    def first_choice(
-        self, queued_call: target_queue.QueuedCall, now: float
-    ) -> dict[str, Any]:
-        """Returns options of `choose` for a queued call."""
-        if not self._probes.reports_load:
-            return {"use_fair_share": True}
-        late = now > queued_call.latest_start_at
-        return {
-            "fast_only": True,
-            "max_utilization": _LATE_CALL_MAX_UTILIZATION if late else None,
-        }
+            record = self._choose(state, options, now)
+            if record is not None:
+                return record
+        return None
 
-    def _choose_cold(
+    def choose_for_hedge(
         self,
         state: call_attempts.CallState,
         now: float,
         *,
-        max_utilization: float | None,
-        fresh_only: bool = False,
+        avoids_unlimited_cold: bool,
     ) -> loads.UpstreamLoad | None:
-        """Returns a cold upstream for a call that no other can take now."""
-        if not self._cold.may_use(queued_at=state.queued_at, now=now):
-            return None
-        return self.choose(
-            state,
-            now,
-            cold_only=True,
-            fresh_only=fresh_only,
-            max_utilization=max_utilization,
+        """Returns the upstream that a hedge is sent to, or None."""
+        options = Options(
+            need_free_slot=True,
+            fast_only=self._probes.reports_load,
+            avoids_unlimited_cold=avoids_unlimited_cold,
         )
+        return self._choose(state, options, now)
 
-    def _has_room(self) -> bool:
-        """Returns whether late calls take no slot that others need."""
-        own_slots = self._view.total_slots / self._nodes()
-        return self._view.mean_utilization < _MAX_MEAN_UTILIZATION and len(
-            self._queue
-        ) <= max(1.0, own_slots)
-
-    def fast_host_wait_end(
+    def assess_for_queued(
         self,
         state: call_attempts.CallState,
         queued_call: target_queue.QueuedCall,
         now: float,
+        *,
+        at: float,
+    ) -> candidates.Assessments:
+        """Returns what `choose_for_queued` would make of each upstream.
+
+        No state changes. The result holds costs for one step at most, that in
+        which an upstream is found. An upstream that this step does not
+        consider, as it is cold or is not, has the reason of an earlier step.
+
+        Args:
+            state: a call that is not in the queue yet.
+            queued_call: the same call as it would be queued.
+            now: monotonic seconds.
+            at: time up to which the call is assumed to have waited; the load
+                of upstreams is that of `now`.
+        """
+        merged: dict[str, placement.Exclusion | float] = {}
+        for options in self._steps(
+            queued_call,
+            queued_at=state.queued_at,
+            queued_calls=len(self._queue) + 1,
+            now=now,
+            at=at,
+        ):
+            step = self._balancer.assess(
+                self._query(state, options, now, draw=_USUAL_DRAW)
+            )
+            for record in self._view.eligible:
+                upstream_id = record.upstream.upstream_id
+                is_considered = (
+                    self._cold.is_cold(record, now) == options.cold_only
+                )
+                if is_considered or upstream_id not in merged:
+                    merged[upstream_id] = step[upstream_id]
+            if any(
+                not isinstance(a, placement.Exclusion) for a in step.values()
+            ):
+                break
+        return merged
+
+    def wait_ends_at(
+        self,
+        queued_call: target_queue.QueuedCall,
+        *,
+        queued_at: float,
+        queued_calls: int,
+        now: float,
     ) -> float:
-        """Returns when a queued call stops waiting for a fast host."""
+        """Returns when a queued call stops waiting for a fast host.
+
+        Args:
+            queued_call: the call.
+            queued_at: monotonic seconds at which it was queued.
+            queued_calls: calls that wait at this node, this one included.
+            now: monotonic seconds.
+        """
+        # Without a probe the call would wait for nothing: no report could show
+        # it a fast host before it is late.
+        if self._has_room(queued_calls) and self._probes.is_exhausted(
+            now=now, until=queued_call.latest_start_at
+        ):
+            return now
         if not self._probes.has_recent_report(now):
-            return state.queued_at + _MAX_WAIT_WITHOUT_REPORTS_S
+            return queued_at + _MAX_WAIT_WITHOUT_REPORTS_S
         return queued_call.expires_at - _SLOW_HOST_FALLBACK_S
 
-    def choose(
+    def _steps(
+        self,
+        queued_call: target_queue.QueuedCall,
+        *,
+        queued_at: float,
+        queued_calls: int,
+        now: float,
+        at: float,
+    ) -> Iterator[Options]:
+        """Yields the steps of a choice until one finds an upstream.
+
+        Calls wait for a fast host. While the service is busy, late calls only
+        use nearly idle upstreams, which leaves slots to the calls of all nodes
+        that can meet their target. Cold upstreams get what no other can take.
+
+        Args: as those of `assess_for_queued` and `wait_ends_at`.
+        """
+        # The wait up to `at` counts as if the call had been queued earlier.
+        may_use_cold = functools.partial(
+            self._cold.may_use, queued_at=queued_at - (at - now), now=now
+        )
+        if not self._probes.reports_load:
+            yield Options(use_fair_share=True)
+            if may_use_cold():
+                yield Options(cold_only=True)
+            return
+        max_utilization = (
+            MAX_UNSATURATED_UTILIZATION
+            if self._has_room(queued_calls)
+            else _LATE_CALL_MAX_UTILIZATION
+        )
+        late = at > queued_call.latest_start_at
+        fast = Options(
+            fast_only=True, max_utilization=max_utilization if late else None
+        )
+        yield fast
+        if at < self.wait_ends_at(
+            queued_call,
+            queued_at=queued_at,
+            queued_calls=queued_calls,
+            now=now,
+        ):
+            if may_use_cold():
+                yield Options(
+                    cold_only=True,
+                    fresh_only=True,
+                    max_utilization=fast.max_utilization,
+                )
+            return
+        yield Options(max_utilization=max_utilization)
+        if may_use_cold():
+            yield Options(cold_only=True, max_utilization=max_utilization)
+
+    def _has_room(self, queued_calls: int) -> bool:
+        """Returns whether late calls take no slot that others need."""
+        own_slots = self._view.total_slots / self._nodes()
+        return (
+            self._view.mean_utilization < _MAX_MEAN_UTILIZATION
+            and queued_calls <= max(1.0, own_slots)
+        )
+
+    def _choose(
+        self, state: call_attempts.CallState, options: Options, now: float
+    ) -> loads.UpstreamLoad | None:
+        draw = None
+        if options.max_utilization is None:
+            draw = self._rng.random()
+        # Only upstreams with a fresh report can be known to be fast. They are
+        # few, and a sample of all upstreams would miss most of them.
+        reported = None
+        if options.fast_only or options.fresh_only:
+            reported = self._view.recently_reported(
+                now=now, max_age_s=probe_rounds.MAX_FRESH_AGE_S
+            )
+        return self._balancer.choose_for(
+            self._query(state, options, now, draw=draw), reported
+        )
+
+    def _query(
         self,
         state: call_attempts.CallState,
+        options: Options,
         now: float,
         *,
-        need_free_slot: bool = False,
-        fast_only: bool = False,
-        cold_only: bool = False,
-        fresh_only: bool = False,
-        use_fair_share: bool = False,
-        max_utilization: float | None = None,
-        for_second_attempt: bool = False,
-        select: Callable[..., Any] | None = None,
-    ) -> Any:
-        """Returns what `select` makes of the upstreams.
-
-        That is the chosen upstream or None with `Balancer.choose`, the default,
-        and an explanation with `Balancer.assess`, which uses neither the
-        random generator nor a sample of the upstreams.
+        draw: float | None,
+    ) -> balancing.Query:
+        """Returns the conditions of a step.
 
-        Cold upstreams are left out, except with `cold_only`. With `fresh_only`,
-        only upstreams with a fresh report are considered.
+        Args:
+            state: the call.
+            options: the step.
+            now: monotonic seconds.
+            draw: random number from 0 to 1 that decides whether the call may
+                take the last slot of an upstream; unused where the options
+                limit the utilization.
         """
         tried = state.tried
         # A retry may use an upstream again if there is no other. A hedge may
         # not: it would be as slow as the first attempt.
-        if not need_free_slot and len(tried) >= len(self._view.eligible):
+        if not options.need_free_slot and len(tried) >= len(
+            self._view.eligible
+        ):
             tried = ()
+        max_utilization = options.max_utilization
         if max_utilization is None and not self._statistics.may_use_last_slot(
-            self._rng.random() if select is None else _USUAL_DRAW
+            draw
         ):
             max_utilization = MAX_UNSATURATED_UTILIZATION
-        if use_fair_share:
-            total = self._view.total_slots
-            use_fair_share = self._local_in_flight() < max(
-                1, math.ceil(total / self._nodes())
-            )
-        # Only upstreams with a fresh report can be known to be fast. They are
-        # few, and a sample of all upstreams would miss most of them.
-        if select is None:
-            select = functools.partial(
-                self._balancer.choose,
-                candidates=self._view.recently_reported(
-                    now=now, max_age_s=probe_rounds.MAX_FRESH_AGE_S
-                )
-                if fast_only or fresh_only
-                else None,
-            )
-        return select(
+        use_fair_share = options.use_fair_share and (
+            self._local_in_flight()
+            < max(1, math.ceil(self._view.total_slots / self._nodes()))
+        )
+        return balancing.Query(
             call_class=calls.CallClass.LOOKUP,
             typical_latency_s=self._statistics.quantile_s(state.call, 0.5),
             now=now,
             tried=tried,
             use_fair_share=use_fair_share,
-            need_free_slot=need_free_slot or fast_only or fresh_only,
+            need_free_slot=(
+                options.need_free_slot
+                or options.fast_only
+                or options.fresh_only
+            ),
             max_utilization=max_utilization,
             utilization_weight=(
                 _REPORTED_UTILIZATION_WEIGHT
-                if fast_only
+                if options.fast_only
                 else _ESTIMATED_UTILIZATION_WEIGHT
             ),
-            accept=self._acceptance(
-                now,
-                fast_only=fast_only,
-                cold_only=cold_only,
-                for_second_attempt=for_second_attempt,
-            ),
+            reject=self._rejection(options, now),
         )
 
-    def _acceptance(
-        self,
-        now: float,
-        *,
-        fast_only: bool,
-        cold_only: bool,
-        for_second_attempt: bool = False,
-    ) -> Callable[[loads.UpstreamLoad], bool] | None:
-        """Returns the condition that an upstream must meet, or None."""
-        if (
-            not self._gate.limits_upstreams
-            and not self._cold.has_any(now)
-            and not for_second_attempt
+    def _rejection(
+        self, options: Options, now: float
+    ) -> Callable[[loads.UpstreamLoad], placement.Exclusion | None] | None:
+        """Returns a function that returns why an upstream is left out."""
+        if not (
+            self._gate.limits_upstreams
+            or options.avoids_unlimited_cold
+            or self._cold.has_any(now)
         ):
-            if not fast_only:
+            if not options.fast_only:
                 return None
-            return functools.partial(probe_rounds.is_fast, now=now)
+            return functools.partial(probe_rounds.why_not_fast, now=now)
 
-        def accept(record: loads.UpstreamLoad) -> bool:
-            if self._cold.is_cold(record, now) != cold_only:
-                return False
-            if fast_only and not probe_rounds.is_fast(record, now):
-                return False
-            if for_second_attempt and not decisions.may_get_second_attempt(
-                record
-            ):
-                return False
-            return self._gate.admits(record.upstream, now)
+        def reject(record: loads.UpstreamLoad) -> placement.Exclusion | None:
+            is_cold = self._cold.is_cold(
+                record, now, include_unlimited=options.avoids_unlimited_cold
+            )
+            if is_cold != options.cold_only:
+                if is_cold:
+                    return placement.Exclusion.COLD
+                return placement.Exclusion.NOT_COLD
+            reason = None
+            if options.fast_only:
+                reason = probe_rounds.why_not_fast(record, now)
+            elif options.fresh_only:
+                reason = probe_rounds.why_not_fresh(record, now)
+            return reason or self._gate.why_not_admitted(record.upstream, now)
 
-        return accept
+        return reject
--- a/tanagerspoke/coordination/probe_rounds.py
+++ b/tanagerspoke/coordination/probe_rounds.py
@@ -5,6 +5,7 @@
 which hosts are fast now.
 """
 
+from tanagerspoke.protocol import placement
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.state import loads
 
@@ -168,9 +169,19 @@
     return record.host_slowness
 
 
-def is_fast(record: loads.UpstreamLoad, now: float) -> bool:
-    """Returns whether a fresh report shows that the host is fast."""
-    return (
-        record.report_age_s(now) <= MAX_FRESH_AGE_S
-        and record.host_slowness <= MAX_FAST_HOST_SLOWNESS
-    )
+def why_not_fresh(
+    record: loads.UpstreamLoad, now: float
+) -> placement.Exclusion | None:
+    """Returns why the load of an upstream is not known now, or None."""
+    if record.report_age_s(now) > MAX_FRESH_AGE_S:
+        return placement.Exclusion.NO_FRESH_REPORT
+    return None
+
+
+def why_not_fast(
+    record: loads.UpstreamLoad, now: float
+) -> placement.Exclusion | None:
+    """Returns why no fresh report shows that the host is fast, or None."""
+    if record.host_slowness > MAX_FAST_HOST_SLOWNESS:
+        return why_not_fresh(record, now) or placement.Exclusion.SLOW_HOST
+    return why_not_fresh(record, now)
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -1,7 +1,6 @@
 """Schedules the calls of one service by route, latency target and deadline."""
 
 from collections.abc import Callable
-import functools
 
 from tanagerspoke.coordination import balancing
 from tanagerspoke.coordination import call_attempts
@@ -222,13 +221,21 @@
             call=call, attempts={}, queued=True, queued_at=now
         )
         queued_call = self._queued_call(state, now)
-        assess = functools.partial(
-            self._choice.choose, state, now, select=self._balancer.assess
-        )
-        first = assess(**self._choice.first_choice(queued_call, now))
-        after_wait = first
+        wait_ends_at = None
         if self._probes.reports_load:
-            after_wait = assess(**upstream_choice.CHOICE_AFTER_WAIT)
+            wait_ends_at = self._choice.wait_ends_at(
+                queued_call,
+                queued_at=now,
+                queued_calls=len(self._queue) + 1,
+                now=now,
+            )
+        waited_until = queued_call.expires_at
+        if wait_ends_at is not None:
+            waited_until = wait_ends_at
+        first, after_wait = (
+            self._choice.assess_for_queued(state, queued_call, now, at=at)
+            for at in (now, max(now, waited_until))
+        )
         code = self._refusal_code(call, now)
         refusal = None
         if code is not None:
@@ -241,15 +248,10 @@
             )
         return candidates.describe(
             view=self._view,
-            gate=self._gate,
             refusal=refusal,
             now_assessed=first,
             after_wait_assessed=after_wait,
-            wait_ends_at=(
-                self._choice.fast_host_wait_end(state, queued_call, now)
-                if self._probes.reports_load
-                else None
-            ),
+            wait_ends_at=wait_ends_at,
             expires_at=queued_call.expires_at,
             queued_calls=len(self._queue),
             calls_ahead=self._queue.calls_ahead(queued_call, now),
@@ -697,12 +699,10 @@
         if self._budget.remaining(now) <= reserve:
             return False
         fast_only = self._probes.reports_load
-        record = self._choice.choose(
+        record = self._choice.choose_for_hedge(
             state,
             now,
-            need_free_slot=True,
-            fast_only=fast_only,
-            for_second_attempt=self._second_attempts is not None,
+            avoids_unlimited_cold=self._second_attempts is not None,
         )
         if record is not None and self._budget.spend(now, reserve=reserve):
             if self._second_attempts is not None:
--- a/tanagerspoke/coordination/second_attempts/decisions.py
+++ b/tanagerspoke/coordination/second_attempts/decisions.py
@@ -9,8 +9,6 @@
 from tanagerspoke.coordination.second_attempts import allowance
 from tanagerspoke.coordination.second_attempts import timing
 from tanagerspoke.protocol import calls
-from tanagerspoke.protocol import upstreams
-from tanagerspoke.state import loads
 
 # A call that waited longer than a round of probes had to wait for an upstream;
 # shorter waits are those for the first load report.
@@ -155,16 +153,6 @@
         return due_at
 
 
-def may_get_second_attempt(record: loads.UpstreamLoad) -> bool:
-    """Returns whether an upstream may get second attempts.
-
-    Leaving upstreams are not eligible for any call, and paused ones are left
-    out by the balancer. The gate leaves out those in evacuated zones and those
-    whose cold period is known from elsewhere than their load reports.
-    """
-    return record.phase is not upstreams.UpstreamPhase.COLD
-
-
 def _known_slowness(attempt: call_attempts.Attempt, now: float) -> float:
     """Returns the highest slowness known of the host of a running attempt."""
     record = attempt.record
--- a/tanagerspoke/protocol/placement.py
+++ b/tanagerspoke/protocol/placement.py
@@ -15,7 +15,14 @@
     DRAINING = "draining"
     EJECTED = "ejected"
     PAUSED = "paused"
-    # The gate's reasons, such as an evacuated zone or a cold period.
+    ZONE_EVACUATED = "zone_evacuated"
+    # Cold upstreams are used for calls that wait, and not for hedges.
+    COLD = "cold"
+    # The gate lets this node send no call to the cold upstream now.
+    COLD_LIMIT = "cold_limit"
+    # A choice among cold upstreams only leaves out the others.
+    NOT_COLD = "not_cold"
+    # A part of the gate without a reason of its own.
     NOT_ADMITTED = "not_admitted"
     RAMPING_UP = "ramping_up"
     ALREADY_TRIED = "already_tried"
@@ -25,8 +32,6 @@
     SLOW = "slow"
     NO_FRESH_REPORT = "no_fresh_report"
     SLOW_HOST = "slow_host"
-    # The acceptance condition of a choice, where its reason is not known.
-    NOT_ACCEPTED = "not_accepted"
 
 
 class Outcome(enum.StrEnum):
--- a/tests/coordination/test_placements.py
+++ b/tests/coordination/test_placements.py
@@ -15,6 +15,8 @@
 from tanagerspoke.protocol import placement
 from tanagerspoke.protocol import upstreams
 from tests.coordination import helpers
+from tests.coordination import test_load_patterns
+from tests.coordination.cold_upstreams import test_patterns
 
 # More calls than the queue of the only node can hold.
 _OVERRUN = model.Load(
@@ -63,6 +65,37 @@
     )
 
 
+def _check_agreement(explained) -> tuple[int, int]:
+    """Compares explanations with actions; returns those sent and refused."""
+    sent = refused = 0
+    for explanation, actions in explained:
+        if explanation.outcome is placement.Outcome.REFUSE:
+            (refusal,) = actions
+            assert explanation.refusal.code == refusal.code
+            assert (
+                explanation.refusal.retry_after_s - 1e-9
+                <= refusal.retry_after_s
+                <= explanation.refusal.max_retry_after_s + 1e-9
+            )
+            refused += 1
+            continue
+        assert not any(isinstance(a, calls.Refuse) for a in actions)
+        if explanation.calls_ahead:
+            continue
+        chosen = [a.upstream_id for a in actions]
+        by_id = {c.upstream_id: c for c in explanation.candidates}
+        if explanation.outcome is placement.Outcome.SEND:
+            taken, best = by_id[chosen[0]], by_id[explanation.upstream_id]
+            assert taken.exclusion in (None, placement.Exclusion.TOO_BUSY)
+            if taken.exclusion is None:
+                assert taken.cost_s <= 1.1 * best.cost_s + 1e-9
+            sent += 1
+        elif chosen:
+            # One draw in ten allows the last slot.
+            assert by_id[chosen[0]].exclusion is placement.Exclusion.TOO_BUSY
+    return sent, refused
+
+
 @pytest.mark.parametrize("name", ["spells", "full house"])
 def test_explanation_changes_nothing(
     name: str, request: pytest.FixtureRequest
@@ -92,36 +125,50 @@
     """Guards against an explanation of something else than what happens."""
     load = dataclasses.replace(load, duration_s=6.0)
     model.run(load, share=None, seed=1)
-    sent = refused = 0
-    for explanation, actions in explained:
-        if explanation.outcome is placement.Outcome.REFUSE:
-            (refusal,) = actions
-            assert explanation.refusal.code == refusal.code
-            assert (
-                explanation.refusal.retry_after_s - 1e-9
-                <= refusal.retry_after_s
-                <= explanation.refusal.max_retry_after_s + 1e-9
-            )
-            refused += 1
-            continue
-        assert not any(isinstance(a, calls.Refuse) for a in actions)
-        if explanation.calls_ahead:
-            continue
-        chosen = [a.upstream_id for a in actions]
-        by_id = {c.upstream_id: c for c in explanation.candidates}
-        if explanation.outcome is placement.Outcome.SEND:
-            taken, best = by_id[chosen[0]], by_id[explanation.upstream_id]
-            assert taken.exclusion in (None, placement.Exclusion.TOO_BUSY)
-            if taken.exclusion is None:
-                assert taken.cost_s <= 1.1 * best.cost_s + 1e-9
-            sent += 1
-        elif chosen:
-            # One draw in ten allows the last slot.
-            assert by_id[chosen[0]].exclusion is placement.Exclusion.TOO_BUSY
+    sent, refused = _check_agreement(explained)
     assert sent >= min_sent
     assert refused >= min_refused
 
 
+@pytest.mark.parametrize("limited", [True, False])
+def test_explanation_agrees_with_cold_and_evacuated_upstreams(
+    limited: bool, explained
+) -> None:
+    """Guards against an explanation that does not know a step of the choice.
+
+    Load: 20 % of what all upstreams can do. All are cold from 2 to 4 s, a zone
+    from 4 to 6 s, and another one is evacuated from 5 to 6 s.
+    """
+    fleet = test_patterns._Fleet(limited=limited)
+    fleet.offer(rate_per_s=40.0, until_s=8.0)
+    ids = [u.upstream_id for u in fleet.listed]
+    fleet.clock.schedule(2.0, fleet.make_cold, ids, 2.0)
+    fleet.clock.schedule(4.0, fleet.make_cold, test_patterns._ZONE_A, 2.0)
+    fleet.clock.schedule(5.0, fleet.evacuate, "b")
+    fleet.clock.schedule(6.0, fleet.evacuate)
+    fleet.run()
+    sent, _ = _check_agreement(explained)
+    assert sent >= 10
+    exclusions = {
+        c.exclusion for e, _ in explained for c in e.candidates if c.exclusion
+    }
+    assert placement.Exclusion.ZONE_EVACUATED in exclusions
+    cold = {placement.Exclusion.COLD, placement.Exclusion.COLD_LIMIT}
+    assert exclusions & cold == (cold if limited else set())
+
+
+def test_explanation_agrees_while_probes_are_used_up(explained) -> None:
+    """Guards against an explanation that does not know the room condition.
+
+    Load: 30 % of what the upstreams can do, with one probe in 20 s for each.
+    """
+    fleet = test_load_patterns._Fleet(nodes=20, probes_per_upstream_s=0.05)
+    fleet.offer(rate_per_s=test_load_patterns._rate(0.3), until_s=6.0)
+    fleet.run()
+    sent, _ = _check_agreement(explained)
+    assert sent >= 100
+
+
 class _RefusingGate(dispatch_gate.DispatchGate):
     """Leaves out `u6` and refuses calls with `code`."""
 
