--- a/tanagerspoke/commands/where.py
+++ b/tanagerspoke/commands/where.py
@@ -54,7 +54,7 @@
         host: host name of the request.
         path: path of the request.
         method: method of the request.
-        account: client account of the request.
+        account: name of the client account of the request; never a key.
         deadline_ms: time that the caller has, in milliseconds.
         json: prints the answer of the edge as JSON.
     """
@@ -134,12 +134,36 @@
             f"{_ms(explanation.deadline_s)}, at most {route.max_attempts} "
             "attempts"
         )
+    if explanation.account is not None:
+        yield _describe_account(explanation.account)
     for service in explanation.services:
         yield from _describe_service(service)
     for note in explanation.notes:
         yield f"note: {note}"
 
 
+def _describe_account(account: placement.AccountFacts) -> str:
+    limit = "no limit"
+    if account.calls_per_s:
+        limit = (
+            f"limit {account.calls_per_s:g} calls a second and "
+            f"{account.burst_calls:g} at once"
+        )
+    if account.held_tokens is not None:
+        limit += f", {account.held_tokens} tokens held here"
+    proof = "no proof needed"
+    if account.max_proof_age_s is not None:
+        proof = "no proof"
+        if account.proof_age_s is not None:
+            proof = f"proof {_ms(account.proof_age_s)} old"
+        proof += f", valid for {_ms(account.max_proof_age_s)}"
+    runs = "run" if account.keyed_calls_run else "don't run"
+    return (
+        f"client account {account.name}: priority {account.priority}, {limit}; "
+        f"{proof}, calls with a key {runs}"
+    )
+
+
 def _describe_service(service: placement.ServicePlacement) -> Iterator[str]:
     yield f"service {service.service} ({service.share:.1%} of the calls)"
     match service.outcome:
--- a/tanagerspoke/coordination/accounts/freshness.py
+++ b/tanagerspoke/coordination/accounts/freshness.py
@@ -93,9 +93,17 @@
         """Returns the age of the newest proof, None if there is none."""
         return None if self._proven_at is None else now - self._proven_at
 
+    @property
+    def max_age_s(self) -> float | None:
+        """Age of a proof from which it has expired; None if none is needed."""
+        if self._bound_s is None:
+            return None
+        return self._bound_s - _ARRIVAL_MARGIN_S
+
     def is_confirmed(self, now: float) -> bool:
         """Returns whether calls with a key may run now."""
-        if self._bound_s is None:
+        max_age_s = self.max_age_s
+        if max_age_s is None:
             return True
         age_s = self.age_s(now)
-        return age_s is not None and age_s < self._bound_s - _ARRIVAL_MARGIN_S
+        return age_s is not None and age_s < max_age_s
--- a/tanagerspoke/coordination/usage_limits/allowance.py
+++ b/tanagerspoke/coordination/usage_limits/allowance.py
@@ -117,6 +117,11 @@
         for account_demand in self._demands.values():
             account_demand.end_hold_off()
 
+    def held_tokens(self, account: str, now: float) -> int:
+        """Returns the tokens of an account that are held and not used."""
+        account_demand = self._demands.get(account)
+        return 0 if account_demand is None else account_demand.held.count(now)
+
     def acquire(
         self, *, account: str, waiter_id: int, now: float
     ) -> list[verdicts.Action]:
--- a/tanagerspoke/coordination/usage_limits/held_tokens.py
+++ b/tanagerspoke/coordination/usage_limits/held_tokens.py
@@ -17,6 +17,12 @@
             if len(self._groups) > 1 and self._groups[-2][0] > expires_at:
                 self._groups = collections.deque(sorted(self._groups))
 
+    def count(self, now: float) -> int:
+        """Returns the number of tokens that may be used now."""
+        return sum(
+            count for expires_at, count in self._groups if expires_at > now
+        )
+
     def take(self, now: float) -> bool:
         """Uses the token that expires first; returns False if there is none."""
         while self._groups and self._groups[0][0] <= now:
--- a/tanagerspoke/protocol/placement.py
+++ b/tanagerspoke/protocol/placement.py
@@ -116,6 +116,32 @@
     candidates: tuple[Candidate, ...] = ()
 
 
+class AccountFacts(msgspec.Struct, frozen=True, kw_only=True):
+    """Client account of the call; its keys are never stated.
+
+    Attributes:
+        priority: rank of its calls, which precedes that of the route.
+        calls_per_s: usage limit over all nodes, 0 where there is none.
+        burst_calls: calls beyond the rate that may come at once.
+        held_tokens: tokens that this node holds for its calls, None where
+            calls need none.
+        proof_age_s: age of the proof that the configuration is the newest,
+            None without one.
+        max_proof_age_s: age from which calls with a key are refused, None
+            where they need no proof.
+        keyed_calls_run: whether calls with a key run at this node now.
+    """
+
+    name: str
+    priority: int
+    calls_per_s: float
+    burst_calls: float
+    held_tokens: int | None
+    proof_age_s: float | None
+    max_proof_age_s: float | None
+    keyed_calls_run: bool
+
+
 class RouteFacts(msgspec.Struct, frozen=True, kw_only=True):
     """Route of the call."""
 
@@ -135,6 +161,7 @@
     Attributes:
         config_version: version of the configuration in force, None without
             one.
+        account: client account of the call, None where it has none.
         deadline_s: time that the call has.
         refusal: refusal before a service is chosen, or None.
         services: services of the route, more than one for a split.
@@ -144,6 +171,7 @@
     node: str
     config_version: int | None
     route: RouteFacts | None = None
+    account: AccountFacts | None = None
     deadline_s: float | None = None
     refusal: Refusal | None = None
     services: tuple[ServicePlacement, ...] = ()
--- a/tanagerspoke/state/accounts.py
+++ b/tanagerspoke/state/accounts.py
@@ -16,6 +16,7 @@
     def __init__(self) -> None:
         self.has_accounts = False
         self._by_digest: dict[str, routing.Account] = {}
+        self._by_name: Mapping[str, routing.Account] = {}
 
     def apply(self, accounts: Mapping[str, routing.Account] | None) -> None:
         """Replaces all accounts by those of a newer routing table.
@@ -33,6 +34,18 @@
         for key_digest in shared:
             del by_digest[key_digest]
         self._by_digest = by_digest
+        self._by_name = accounts or {}
+
+    def find_by_name(self, name: str) -> routing.Account | None:
+        """Returns the account with a name, None if unknown."""
+        return self._by_name.get(name)
+
+    def valid_digest(self, account: routing.Account) -> str | None:
+        """Returns the digest of a key that identifies an account, or None."""
+        for key_digest in account.key_digests:
+            if self._by_digest.get(key_digest) is account:
+                return key_digest
+        return None
 
     def find(self, key_digest: str) -> routing.Account | None:
         """Returns the account that a key belongs to, None if unknown."""
--- a/tanagerspoke/transport/callers/key_access.py
+++ b/tanagerspoke/transport/callers/key_access.py
@@ -9,6 +9,7 @@
 from tanagerspoke.coordination.accounts import key_gate
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
+from tanagerspoke.protocol import key_digests
 from tanagerspoke.protocol import routing
 from tanagerspoke.state import accounts
 from tanagerspoke.transport.callers import caller_calls
@@ -21,6 +22,16 @@
 }
 
 
+def refusal(code: errors.ErrorCode) -> exceptions.CallRefusedError:
+    """Returns the error of a call that is refused for its key."""
+    retry_after_s = None
+    if code is errors.ErrorCode.CONFIG_UNCONFIRMED:
+        retry_after_s = refusals.CONFIG_UNCONFIRMED_RETRY_AFTER_S
+    return exceptions.CallRefusedError(
+        code=code, message=_MESSAGES[code], retry_after_s=retry_after_s
+    )
+
+
 class KeyAccess:
     """Authenticates calls at their arrival and before each attempt.
 
@@ -58,6 +69,36 @@
         """Replaces the accounts by those of a newer routing table."""
         self._index.apply(table.accounts)
 
+    def find_account(self, name: str) -> routing.Account | None:
+        """Returns the account with a name, None if unknown."""
+        return self._index.find_by_name(name)
+
+    def decide_without_call(
+        self, account: routing.Account | None
+    ) -> tuple[authentication.Decision, str | None]:
+        """Returns what a call on a key of an account would get.
+
+        Nothing is counted.
+
+        Args:
+            account: the account; None for a call without a key.
+
+        Returns:
+            The decision, and the digest of the key that it was made for.
+        """
+        key_digest = None
+        if account is not None:
+            key_digest = self._index.valid_digest(account)
+        presented: key_digests.PresentedKey = key_digests.DefectiveKey(
+            defect=key_digests.KeyDefect.MISSING
+        )
+        if key_digest is not None:
+            presented = key_digests.WellFormedKey(digest=key_digest)
+        decision = self._authentication.decide(
+            presented=presented, now=self._clock()
+        )
+        return decision, key_digest
+
     def authenticate(
         self, request: caller_calls.CallerRequest, route: routing.Route
     ) -> routing.Account | None:
@@ -99,12 +140,7 @@
         reason: str,
     ) -> None:
         record.rejection = str(reason)
-        retry_after_s = None
-        if code is errors.ErrorCode.CONFIG_UNCONFIRMED:
-            retry_after_s = refusals.CONFIG_UNCONFIRMED_RETRY_AFTER_S
-        raise exceptions.CallRefusedError(
-            code=code, message=_MESSAGES[code], retry_after_s=retry_after_s
-        )
+        raise refusal(code)
 
     def account_priority(
         self, account: routing.Account | None, route: routing.Route
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -35,6 +35,7 @@
 from tanagerspoke.transport.operations import graceful_stop
 from tanagerspoke.transport.operations import log_limit
 from tanagerspoke.transport.operations import supervision
+from tanagerspoke.transport.operations import where_accounts
 from tanagerspoke.transport.operations import where_service
 from tanagerspoke.transport.peers import config_proofs
 from tanagerspoke.transport.peers import freshness_queries
@@ -206,6 +207,9 @@
                 self._routes.table.version if self._routes.table else None
             ),
             find_route=self._find_route,
+            accounts=where_accounts.AccountExplainer(
+                keys=self._keys, proofs=self._proofs, usage=self._usage
+            ),
             new_call=self._new_call,
             scheduler=self._scheduler_to_explain,
             clock=time.monotonic,
@@ -681,8 +685,8 @@
         route: routing.Route,
         started_at: float,
         deadline_s: float | None,
-        account: routing.Account | None = None,
-        key_digest: str | None = None,
+        account: routing.Account | None,
+        key_digest: str | None,
     ) -> calls.Call:
         timeout_s = route.timeout_s
         if deadline_s is not None:
--- a/tanagerspoke/transport/operations/where_service.py
+++ b/tanagerspoke/transport/operations/where_service.py
@@ -17,6 +17,7 @@
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import placement
 from tanagerspoke.protocol import routing
+from tanagerspoke.transport.operations import where_accounts
 
 PATH = "/where"
 # Id of a call that is only explained; those of callers are not negative.
@@ -46,6 +47,8 @@
         route: routing.Route,
         started_at: float,
         deadline_s: float | None,
+        account: routing.Account | None,
+        key_digest: str | None,
     ) -> calls.Call:
         """Returns the call; `deadline_s` is the time that its caller has."""
 
@@ -75,6 +78,7 @@
         node: str,
         config_version: Callable[[], int | None],
         find_route: Callable[[str, str], routing.Route],
+        accounts: where_accounts.AccountExplainer,
         new_call: NewCall,
         scheduler: Callable[[str], Explainer],
         clock: Callable[[], float],
@@ -86,6 +90,7 @@
             config_version: returns the version of the configuration in force.
             find_route: returns the route of a host and path; raises
                 `CallRefusedError`.
+            accounts: explains client accounts.
             new_call: creates a call.
             scheduler: returns the scheduler of a service; one that is not in
                 use yet must not be kept.
@@ -94,6 +99,7 @@
         self._node = node
         self._config_version = config_version
         self._find_route = find_route
+        self._accounts = accounts
         self._new_call = new_call
         self._scheduler = scheduler
         self._clock = clock
@@ -102,15 +108,20 @@
         """Responds with a JSON `Explanation`, or with 400 to a bad query."""
         try:
             query = _parse(req)
-        except ValueError as exc:
+            explanation = self.explain(query)
+        except (ValueError, where_accounts.UnknownAccountError) as exc:
             return web.json_response({"error": str(exc)}, status=400)
         return web.Response(
-            body=msgspec.json.encode(self.explain(query)),
+            body=msgspec.json.encode(explanation),
             content_type="application/json",
         )
 
     def explain(self, query: Query) -> placement.Explanation:
-        """Returns what would happen to a call now."""
+        """Returns what would happen to a call now.
+
+        Raises:
+            UnknownAccountError: the query names an unknown client account.
+        """
         explanation = placement.Explanation(
             node=self._node,
             config_version=self._config_version(),
@@ -119,28 +130,31 @@
         try:
             route = self._find_route(query.host, query.path)
         except exceptions.CallRefusedError as exc:
-            refusal = placement.Refusal(
-                code=exc.code.value,
-                status=errors.status_of(exc.code),
-                message=str(exc),
-                retry_after_s=exc.retry_after_s,
-            )
-            return msgspec.structs.replace(explanation, refusal=refusal)
-        # The decision about the client account, once there is one, belongs
-        # here: its refusal goes into `Explanation.refusal` as above, its
-        # priority into the call.
+            return msgspec.structs.replace(explanation, refusal=_refusal(exc))
+        admission = self._accounts.explain(query.account, route)
         now = self._clock()
         call = self._new_call(
             call_id=_CALL_ID,
             route=route,
             started_at=now,
             deadline_s=query.deadline_s,
+            account=admission.account,
+            key_digest=admission.key_digest,
         )
-        total_weight = sum(weighted.weight for weighted in route.services)
-        return msgspec.structs.replace(
+        explanation = msgspec.structs.replace(
             explanation,
             route=_facts(route),
+            account=admission.facts,
             deadline_s=call.deadline - now,
+            notes=explanation.notes + admission.notes,
+        )
+        if admission.refusal is not None:
+            return msgspec.structs.replace(
+                explanation, refusal=_refusal(admission.refusal)
+            )
+        total_weight = sum(weighted.weight for weighted in route.services)
+        return msgspec.structs.replace(
+            explanation,
             services=tuple(
                 msgspec.structs.replace(
                     self._scheduler(weighted.service).explain(
@@ -184,6 +198,15 @@
     )
 
 
+def _refusal(exc: exceptions.CallRefusedError) -> placement.Refusal:
+    return placement.Refusal(
+        code=exc.code.value,
+        status=errors.status_of(exc.code),
+        message=str(exc),
+        retry_after_s=exc.retry_after_s,
+    )
+
+
 def _facts(route: routing.Route) -> placement.RouteFacts:
     return placement.RouteFacts(
         name=route.name,
@@ -199,8 +222,6 @@
 
 def _notes(query: Query) -> tuple[str, ...]:
     notes = []
-    if query.account:
-        notes.append("the client account is not taken into account")
     if query.method not in ("GET", "HEAD"):
         notes.append("the method has no effect; the route decides on repeats")
     return tuple(notes)
--- a/tanagerspoke/transport/peers/usage_service.py
+++ b/tanagerspoke/transport/peers/usage_service.py
@@ -145,6 +145,10 @@
         self._update_roles()
         self._execute(self._allowance.set_accounts(self._accounts))
 
+    def held_tokens(self, account: str) -> int:
+        """Returns the tokens that this node holds for an account's calls."""
+        return self._allowance.held_tokens(account, self._boot_clock())
+
     def acquire(
         self, account: routing.Account, on_verdict: OnVerdict
     ) -> Callable[[], None]:
--- a/tests/coordination/test_second_attempts.py
+++ b/tests/coordination/test_second_attempts.py
@@ -277,6 +277,18 @@
     assert len(node.dispatches) == 1
 
 
+def test_no_second_attempt_on_an_upstream_whose_entry_says_cold() -> None:
+    """Guards against hedges to cold upstreams whose calls are not limited."""
+    node = _Node(count=3, loads={})
+    cold_until = {f"u{number}": 10.0 for number in range(3)}
+    listed = helpers.make_upstreams(3)
+    changed = calls.UpstreamsChanged(upstreams=listed, cold_until=cold_until)
+    node.handle(changed, 0.0)
+    node.handle(calls.CallArrived(call=_call(1, 0.0)), 0.0)
+    node.run(1.9)
+    assert len(node.dispatches) == 1
+
+
 def test_share_that_is_changed_while_a_call_runs() -> None:
     """Guards against a changed setting that only new calls follow."""
     node = _Node(count=3, loads={})
--- a/tests/coordination/usage_limits/test_allowance.py
+++ b/tests/coordination/usage_limits/test_allowance.py
@@ -228,3 +228,16 @@
     assert len(node.decided) == 200
     assert 5 <= node.asked[-1].request.extra <= 10
     assert len(node.asked) < 90
+
+
+def test_count_of_held_tokens_takes_none() -> None:
+    """Guards against an operator's question that uses an account's tokens."""
+    node = _Node()
+    node.acquire(1, 0.0)
+    node.reply(0.01, granted=3)
+    for _ in range(5):
+        assert node.allowance.held_tokens("a", 0.1) == 2
+    assert node.allowance.held_tokens("a", 10.0) == 0
+    assert node.allowance.held_tokens("unknown", 0.1) == 0
+    node.acquire(2, 0.1)
+    assert isinstance(node.decided[2], verdicts.Admitted)
