--- a/tanagerspoke/coordination/call_attempts.py
+++ b/tanagerspoke/coordination/call_attempts.py
@@ -17,6 +17,8 @@
         started_at: monotonic seconds.
         saturated: whether nearly all slots of the upstream were in use after
             it started.
+        host_slowness: slowness of the host by a fresh report at the start, 1
+            where it was not known.
         cold: whether the upstream was cold, and its calls limited for this,
             when it started.
     """
@@ -25,6 +27,7 @@
     started_at: float
     is_hedge: bool
     saturated: bool = False
+    host_slowness: float = 1.0
     cold: bool = False
 
 
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -1,8 +1,6 @@
 """Schedules the calls of one service by route, latency target and deadline."""
 
 from collections.abc import Callable
-import functools
-import math
 
 from tanagerspoke.coordination import balancing
 from tanagerspoke.coordination import call_attempts
@@ -15,8 +13,12 @@
 from tanagerspoke.coordination import subsetting
 from tanagerspoke.coordination import target_queue
 from tanagerspoke.coordination.cold_upstreams import cold_choice
+from tanagerspoke.coordination.placements import candidates
+from tanagerspoke.coordination.placements import upstream_choice
+from tanagerspoke.coordination.second_attempts import decisions
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
+from tanagerspoke.protocol import placement
 from tanagerspoke.protocol import randomness
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.state import loads
@@ -31,20 +33,6 @@
 # Extra attempts that hedges leave to retries. A retry is needed more: its call
 # has no other attempt in flight.
 _RESERVED_FOR_RETRIES = 1.0
-# Longest time that a call waits for a fast host while no upstream reports its
-# load.
-_MAX_WAIT_WITHOUT_REPORTS_S = 0.05
-# Time before its expiry from which a queued call also accepts a nearly idle
-# upstream on a slow host.
-_SLOW_HOST_FALLBACK_S = 0.05
-# Largest share of an upstream's slots in use, the call included, where the
-# upstream counts as nearly idle: one slot of three or four. Late calls wait for
-# such an upstream.
-_LATE_CALL_MAX_UTILIZATION = 0.4
-# Mean utilization of a service's upstreams below which it has room, unless more
-# calls of this node wait than it has slots: at twice the load, all slots would
-# be in use.
-_MAX_MEAN_UTILIZATION = 0.5
 # A call that can no longer meet its target stays queued for at most this share
 # of its target latency; it is then refused with a delay before a retry.
 _MAX_LATE_WAIT_SHARE = 0.5
@@ -53,14 +41,8 @@
 # Delay until a hedge that could not be sent is tried again.
 _HEDGE_RECHECK_S = probe_rounds.ROUND_DURATION_S
 _MAX_HEDGE_TRIES = 5
-# The load of upstreams is partly an estimate, so emptier ones are safer.
-_ESTIMATED_UTILIZATION_WEIGHT = 8.0
-# The load in fresh reports is exact, so calls in flight are a small risk.
-_REPORTED_UTILIZATION_WEIGHT = 1.0
-# Largest share of an upstream's slots in use, the call included, while
-# saturated upstreams are slow: all slots but one of three or four. Above it, an
-# upstream counts as saturated.
-_MAX_UNSATURATED_UTILIZATION = 0.85
+# Delay until a hedge is tried again after that many, where their share is set.
+_HEDGE_PAUSE_S = 0.1
 # Interval at which queued calls are tried again: the estimates of the other
 # nodes' calls change over time without an event.
 _RECHECK_INTERVAL_S = 0.01
@@ -85,6 +67,7 @@
         nodes: int = 1,
         node: str = "",
         gate: dispatch_gate.CombinedGate | None = None,
+        hedge_share: float | None = None,
         limits_cold: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates a scheduler without upstreams.
@@ -99,6 +82,8 @@
             nodes: live nodes that share the upstreams.
             node: name of this node, which decides which upstreams it prefers.
             gate: passed by each attempt immediately before it is sent.
+            hedge_share: hedges per call that may be repeated, 0 to 1; None
+                where only the budget limits them.
             limits_cold: returns whether the calls of cold upstreams are
                 limited; otherwise they are used like others.
         """
@@ -127,7 +112,21 @@
         )
         self._calls = call_attempts.OpenCalls()
         self._local_in_flight = 0
+        self._choice = upstream_choice.UpstreamChoice(
+            view=self._view,
+            balancer=self._balancer,
+            cold=self._cold,
+            gate=self._gate,
+            probes=probes,
+            statistics=self._statistics,
+            queue=self._queue,
+            rng=rng,
+            nodes=lambda: self._nodes,
+            local_in_flight=lambda: self._local_in_flight,
+        )
         self._recheck_at: float | None = None
+        self._second_attempts: decisions.SecondAttempts | None = None
+        self.set_hedge_share(hedge_share)
 
     @property
     def next_wakeup(self) -> float | None:
@@ -157,22 +156,46 @@
         """Sets the number of live nodes that share the upstreams."""
         self._nodes = max(1, gateways)
 
+    @property
+    def hedges_left(self) -> float | None:
+        """Hedges that the share allows now; None without a share."""
+        if self._second_attempts is None:
+            return None
+        return self._second_attempts.allowance.remaining
+
+    def set_hedge_share(self, share: float | None) -> None:
+        """Sets the hedges per call that may be repeated; see `__init__`."""
+        if share is None:
+            self._second_attempts = None
+        elif self._second_attempts is None:
+            self._second_attempts = decisions.SecondAttempts(
+                share=share, statistics=self._statistics
+            )
+        else:
+            self._second_attempts.allowance.set_share(share)
+
     def would_refuse(
         self, *, call: calls.Call, now: float
     ) -> calls.Refuse | None:
         """Returns the refusal that the call would get now, or None."""
+        code = self._refusal_code(call, now)
+        return None if code is None else self._refusal(call, code, now)
+
+    def _refusal_code(
+        self, call: calls.Call, now: float
+    ) -> errors.ErrorCode | None:
         if now >= call.deadline:
-            return self._refusal(call, errors.ErrorCode.QUEUE_TIMEOUT, now)
+            return errors.ErrorCode.QUEUE_TIMEOUT
         code = self._gate.check(call, now)
         if code is None:
             code = self._refusals.unservable_code(call, now)
         if code is not None:
-            return self._refusal(call, code, now)
+            return code
         limit = max(
             _MIN_QUEUE_LIMIT, _MAX_QUEUED_PER_SLOT * self._view.total_slots
         )
         if len(self._queue) >= limit:
-            return self._refusal(call, errors.ErrorCode.QUEUE_FULL, now)
+            return errors.ErrorCode.QUEUE_FULL
         return None
 
     def _refusal(
@@ -182,9 +205,56 @@
             call,
             code,
             queued_calls=len(self._queue),
-            parallel_calls=max(
-                self._local_in_flight, self._view.total_slots / self._nodes
-            ),
+            parallel_calls=self._parallel_calls,
+            now=now,
+        )
+
+    @property
+    def _parallel_calls(self) -> float:
+        return max(self._local_in_flight, self._view.total_slots / self._nodes)
+
+    def explain(
+        self, *, call: calls.Call, now: float
+    ) -> placement.ServicePlacement:
+        """Returns where a call that arrives now would go; changes no state."""
+        state = call_attempts.CallState(
+            call=call, attempts={}, queued=True, queued_at=now
+        )
+        queued_call = self._queued_call(state, now)
+        wait_ends_at = None
+        if self._probes.reports_load:
+            wait_ends_at = self._choice.wait_ends_at(
+                queued_call,
+                queued_at=now,
+                queued_calls=len(self._queue) + 1,
+                now=now,
+            )
+        waited_until = queued_call.expires_at
+        if wait_ends_at is not None:
+            waited_until = wait_ends_at
+        first, after_wait = (
+            self._choice.assess_for_queued(state, queued_call, now, at=at)
+            for at in (now, max(now, waited_until))
+        )
+        code = self._refusal_code(call, now)
+        refusal = None
+        if code is not None:
+            refusal = self._refusals.preview(
+                call,
+                code,
+                queued_calls=len(self._queue),
+                parallel_calls=self._parallel_calls,
+                now=now,
+            )
+        return candidates.describe(
+            view=self._view,
+            refusal=refusal,
+            now_assessed=first,
+            after_wait_assessed=after_wait,
+            wait_ends_at=wait_ends_at,
+            expires_at=queued_call.expires_at,
+            queued_calls=len(self._queue),
+            calls_ahead=self._queue.calls_ahead(queued_call, now),
             now=now,
         )
 
@@ -252,22 +322,25 @@
         self._enqueue(state, now)
 
     def _enqueue(self, state: call_attempts.CallState, now: float) -> None:
-        call = state.call
         state.queued = True
         state.queued_at = now
+        self._queue.push(self._queued_call(state, now))
+
+    def _queued_call(
+        self, state: call_attempts.CallState, now: float
+    ) -> target_queue.QueuedCall:
+        call = state.call
         target_at = call.target_at or call.deadline
         latest_start_at = self._refusals.latest_start_at(call)
         expected_s = target_at - latest_start_at
         late_wait_s = _MAX_LATE_WAIT_SHARE * call.target_latency_s
-        self._queue.push(
-            target_queue.QueuedCall(
-                call=call,
-                latest_start_at=latest_start_at,
-                expires_at=min(
-                    call.deadline - expected_s,
-                    max(now, latest_start_at) + late_wait_s,
-                ),
-            )
+        return target_queue.QueuedCall(
+            call=call,
+            latest_start_at=latest_start_at,
+            expires_at=min(
+                call.deadline - expected_s,
+                max(now, latest_start_at) + late_wait_s,
+            ),
         )
 
     def _apply_report(
@@ -291,165 +364,6 @@
         if record is not None:
             record.record_probe_failure(now)
 
-    def _choose_for_queued(
-        self, queued_call: target_queue.QueuedCall, now: float
-    ) -> loads.UpstreamLoad | None:
-        """Returns the upstream that a queued call starts on now, or None.
-
-        Calls wait for a fast host. While the service is busy, late calls only
-        use nearly idle upstreams, which leaves slots to the calls of all nodes
-        that can meet their target.
-        """
-        state = self._calls[queued_call.call.call_id]
-        if not self._probes.reports_load:
-            return self._choose_upstream(
-                state, now, use_fair_share=True
-            ) or self._choose_cold(state, now, max_utilization=None)
-        late = now > queued_call.latest_start_at
-        has_room = self._has_room()
-        max_utilization = (
-            _MAX_UNSATURATED_UTILIZATION
-            if has_room
-            else _LATE_CALL_MAX_UTILIZATION
-        )
-        fast = self._choose_upstream(
-            state,
-            now,
-            fast_only=True,
-            max_utilization=max_utilization if late else None,
-        )
-        if fast is not None:
-            return fast
-        # Without a probe the call would wait for nothing: no report could show
-        # it a fast host before it is late.
-        no_probe_in_time = has_room and self._probes.is_exhausted(
-            now=now, until=queued_call.latest_start_at
-        )
-        if not no_probe_in_time and now < self._fast_host_wait_end(
-            state, queued_call, now
-        ):
-            return self._choose_cold(
-                state,
-                now,
-                fresh_only=True,
-                max_utilization=max_utilization if late else None,
-            )
-        return self._choose_upstream(
-            state, now, max_utilization=max_utilization
-        ) or self._choose_cold(state, now, max_utilization=max_utilization)
-
-    def _choose_cold(
-        self,
-        state: call_attempts.CallState,
-        now: float,
-        *,
-        max_utilization: float | None,
-        fresh_only: bool = False,
-    ) -> loads.UpstreamLoad | None:
-        """Returns a cold upstream for a call that no other can take now."""
-        if not self._cold.may_use(queued_at=state.queued_at, now=now):
-            return None
-        return self._choose_upstream(
-            state,
-            now,
-            cold_only=True,
-            fresh_only=fresh_only,
-            max_utilization=max_utilization,
-        )
-
-    def _has_room(self) -> bool:
-        """Returns whether late calls take no slot that others need."""
-        own_slots = self._view.total_slots / self._nodes
-        return self._view.mean_utilization < _MAX_MEAN_UTILIZATION and len(
-            self._queue
-        ) <= max(1.0, own_slots)
-
-    def _fast_host_wait_end(
-        self,
-        state: call_attempts.CallState,
-        queued_call: target_queue.QueuedCall,
-        now: float,
-    ) -> float:
-        if not self._probes.has_recent_report(now):
-            return state.queued_at + _MAX_WAIT_WITHOUT_REPORTS_S
-        return queued_call.expires_at - _SLOW_HOST_FALLBACK_S
-
-    def _choose_upstream(
-        self,
-        state: call_attempts.CallState,
-        now: float,
-        *,
-        need_free_slot: bool = False,
-        fast_only: bool = False,
-        cold_only: bool = False,
-        fresh_only: bool = False,
-        use_fair_share: bool = False,
-        max_utilization: float | None = None,
-    ) -> loads.UpstreamLoad | None:
-        """Returns an upstream for a call, or None if none may get it now.
-
-        Cold upstreams are left out, except with `cold_only`. With `fresh_only`,
-        only upstreams with a fresh report are considered.
-        """
-        tried = state.tried
-        # A retry may use an upstream again if there is no other. A hedge may
-        # not: it would be as slow as the first attempt.
-        if not need_free_slot and len(tried) >= len(self._view.eligible):
-            tried = ()
-        if max_utilization is None and not self._statistics.may_use_last_slot(
-            self._rng.random()
-        ):
-            max_utilization = _MAX_UNSATURATED_UTILIZATION
-        if use_fair_share:
-            total = self._view.total_slots
-            use_fair_share = self._local_in_flight < max(
-                1, math.ceil(total / self._nodes)
-            )
-        return self._balancer.choose(
-            call_class=calls.CallClass.LOOKUP,
-            typical_latency_s=self._statistics.quantile_s(state.call, 0.5),
-            now=now,
-            tried=tried,
-            use_fair_share=use_fair_share,
-            need_free_slot=need_free_slot or fast_only or fresh_only,
-            max_utilization=max_utilization,
-            utilization_weight=(
-                _REPORTED_UTILIZATION_WEIGHT
-                if fast_only
-                else _ESTIMATED_UTILIZATION_WEIGHT
-            ),
-            # Only upstreams with a fresh report can be known to be fast. They
-            # are few, and a sample of all upstreams would miss most of them.
-            candidates=(
-                self._view.recently_reported(
-                    now=now, max_age_s=probe_rounds.MAX_FRESH_AGE_S
-                )
-                if fast_only or fresh_only
-                else None
-            ),
-            accept=self._acceptance(
-                now, fast_only=fast_only, cold_only=cold_only
-            ),
-        )
-
-    def _acceptance(
-        self, now: float, *, fast_only: bool, cold_only: bool
-    ) -> Callable[[loads.UpstreamLoad], bool] | None:
-        """Returns the condition that an upstream must meet, or None."""
-        if not self._gate.limits_upstreams and not self._cold.has_any(now):
-            if not fast_only:
-                return None
-            return functools.partial(probe_rounds.is_fast, now=now)
-
-        def accept(record: loads.UpstreamLoad) -> bool:
-            return (
-                self._cold.is_cold(record, now) == cold_only
-                and (not fast_only or probe_rounds.is_fast(record, now))
-                and self._gate.admits(record.upstream, now)
-            )
-
-        return accept
-
     def _dispatch(
         self,
         state: call_attempts.CallState,
@@ -474,9 +388,13 @@
             record=record,
             started_at=now,
             is_hedge=is_hedge,
-            saturated=in_flight / record.slots > _MAX_UNSATURATED_UTILIZATION,
+            saturated=in_flight / record.slots
+            > upstream_choice.MAX_UNSATURATED_UTILIZATION,
+            host_slowness=probe_rounds.fresh_host_slowness(record, now),
             cold=self._cold.is_cold(record, now),
         )
+        if self._second_attempts is not None and attempt == 1:
+            self._second_attempts.record_dispatch(state=state, now=now)
         upstream_id = record.upstream.upstream_id
         self._gate.record_dispatch(record.upstream, now)
         state.tried += (upstream_id,)
@@ -563,6 +481,8 @@
         sent = not isinstance(result, calls.NotSent)
         if sent and not self._budget.spend(now):
             return False
+        if sent and self._second_attempts is not None:
+            self._second_attempts.record_retry(state.call)
         self._enqueue(state, now)
         return True
 
@@ -601,6 +521,8 @@
         for queued_call in self._queue.pop_expired(now):
             state = self._calls[queued_call.call.call_id]
             state.queued = False
+            if self._second_attempts is not None:
+                self._second_attempts.record_expiry()
             self._end_unsuccessfully(state, now, actions)
         self._refuse_unservable(now, actions)
         if len(self._queue):
@@ -628,10 +550,10 @@
         self, now: float, actions: list[calls.SchedulerAction]
     ) -> None:
         for queued_call in self._queue.order(now):
-            record = self._choose_for_queued(queued_call, now)
+            state = self._calls[queued_call.call.call_id]
+            record = self._choice.choose_for_queued(state, queued_call, now)
             if record is None:
                 continue
-            state = self._calls[queued_call.call.call_id]
             self._queue.remove(queued_call.call.call_id)
             state.queued = False
             code = self._gate.check(queued_call.call, now)
@@ -689,6 +611,13 @@
         self, state: call_attempts.CallState, now: float
     ) -> None:
         call = state.call
+        if self._second_attempts is not None:
+            (attempt,) = state.attempts.values()
+            self._follow_decision(
+                state,
+                self._second_attempts.first_look(call=call, attempt=attempt),
+            )
+            return
         at = now + self._statistics.quantile_s(call, _HEDGE_QUANTILE)
         expected_s = self._statistics.quantile_s(
             call, refusals.EXPECTED_DURATION_QUANTILE
@@ -716,6 +645,9 @@
             return
         if self._gate.check(call, now) is not None:
             return
+        if self._second_attempts is not None:
+            self._consider_second_attempt(state, attempt, now, actions)
+            return
         # A queue means saturation: a hedge would take a queued call's slot.
         if not len(self._queue) and self._send_hedge(state, now, actions):
             return
@@ -723,22 +655,58 @@
         if now < late_hedge_at < call.deadline:
             self._calls.schedule_hedge(state, late_hedge_at)
 
+    def _consider_second_attempt(
+        self,
+        state: call_attempts.CallState,
+        attempt: call_attempts.Attempt,
+        now: float,
+        actions: list[calls.SchedulerAction],
+    ) -> None:
+        """Considers a hedge where their share is set."""
+        decision = self._second_attempts.decide(
+            call=state.call,
+            attempt=attempt,
+            waiting_since=min(
+                (s.queued_at for s in self._queued_states()), default=None
+            ),
+            now=now,
+        )
+        if isinstance(decision, decisions.SendNow):
+            reserve = self._second_attempts.reserved_for_retries(
+                self._budget.allowed(now)
+            )
+            if self._send_hedge(state, now, actions, reserve=reserve):
+                return
+            decision = decisions.ConsiderAt(at=now + _HEDGE_PAUSE_S)
+        self._follow_decision(state, decision)
+
+    def _follow_decision(
+        self, state: call_attempts.CallState, decision: decisions.Decision
+    ) -> None:
+        match decision:
+            case decisions.ConsiderAt(at=at) if at < state.call.deadline:
+                self._calls.schedule_hedge(state, at)
+
     def _send_hedge(
         self,
         state: call_attempts.CallState,
         now: float,
         actions: list[calls.SchedulerAction],
+        *,
+        reserve: float = _RESERVED_FOR_RETRIES,
     ) -> bool:
         """Returns whether a hedge was sent or another try was scheduled."""
-        if self._budget.remaining(now) <= _RESERVED_FOR_RETRIES:
+        if self._budget.remaining(now) <= reserve:
             return False
         fast_only = self._probes.reports_load
-        record = self._choose_upstream(
-            state, now, need_free_slot=True, fast_only=fast_only
+        record = self._choice.choose_for_hedge(
+            state,
+            now,
+            avoids_unlimited_cold=self._second_attempts is not None,
         )
-        if record is not None and self._budget.spend(
-            now, reserve=_RESERVED_FOR_RETRIES
-        ):
+        if record is not None and self._budget.spend(now, reserve=reserve):
+            if self._second_attempts is not None:
+                self._second_attempts.allowance.spend()
             self._dispatch(state, record, now, actions, is_hedge=True)
             return True
         state.hedge_tries += 1
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -38,6 +38,8 @@
 from tanagerspoke.transport.operations import graceful_stop
 from tanagerspoke.transport.operations import log_limit
 from tanagerspoke.transport.operations import supervision
+from tanagerspoke.transport.operations import where_accounts
+from tanagerspoke.transport.operations import where_service
 from tanagerspoke.transport.peers import config_proofs
 from tanagerspoke.transport.peers import freshness_queries
 from tanagerspoke.transport.peers import usage_admission
@@ -127,6 +129,7 @@
         self._node_names: frozenset[str] | None = None
         self._node_count: int | None = None
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._schedulers: dict[str, route_scheduling.RouteScheduler] = {}
         self._dispatchers: dict[str, dispatcher.ServiceDispatcher] = {}
         registry = prometheus_client.CollectorRegistry()
         self._metrics = edge_metrics.EdgeMetrics(registry=registry)
@@ -209,12 +212,26 @@
             is_ready=self._is_ready,
             ready_path=adapter.readiness_path,
         )
+        where = where_service.WhereService(
+            node=cfg.node,
+            config_version=lambda: (
+                self._routes.table.version if self._routes.table else None
+            ),
+            find_route=self._find_route,
+            accounts=where_accounts.AccountExplainer(
+                keys=self._keys, proofs=self._proofs, usage=self._usage
+            ),
+            new_call=self._new_call,
+            scheduler=self._scheduler_to_explain,
+            clock=time.monotonic,
+        )
         self._admin = admin_server.AdminServer(
             listen=options.Endpoint(
                 address=cfg.callers.address, port=cfg.metrics_port
             ),
             registry=registry,
             is_ready=self._is_ready,
+            handlers={where_service.PATH: where.serve},
         )
 
     @property
@@ -293,6 +310,8 @@
                 shared_extra=cfg.retry_budget.shared_extra,
                 window_s=cfg.retry_budget.window_s,
             )
+        for scheduler in self._schedulers.values():
+            scheduler.set_hedge_share(cfg.hedge_share)
         log.info("settings_reloaded", extra={"changed": changed})
 
     @mode.Service.task
@@ -451,29 +470,8 @@
             return existing
         budget = self._new_retry_budget()
         self._retry_budgets[service] = budget
-        scheduler = route_scheduling.RouteScheduler(
-            availability_zone=self._cfg.availability_zone,
-            cross_zone_penalty_s=_CROSS_ZONE_PENALTY_S,
-            budget=budget,
-            probes=probe_rounds.ProbeRounds(
-                availability_zone=self._cfg.availability_zone,
-                rate_per_upstream_s=(
-                    _PROBE_RATE_SHARE * self._cfg.probes_per_upstream_s
-                ),
-            ),
-            rng=self._rng,
-            nodes=self._node_count or 1,
-            node=self._cfg.node,
-            gate=dispatch_gate.CombinedGate(
-                parts=(
-                    self._keys.gate,
-                    *self._cold_gates(
-                        service, lambda *args: scheduler.is_cold(*args)
-                    ),
-                )
-            ),
-            limits_cold=lambda: self._cold_calls_per_s(service) > 0.0,
-        )
+        scheduler = self._new_scheduler(service, budget, self._rng)
+        self._schedulers[service] = scheduler
         created = dispatcher.ServiceDispatcher(
             scheduler=scheduler,
             client=self._upstream_client,
@@ -491,6 +489,7 @@
             in_flight=lambda: created.in_flight,
             queue_length=lambda: scheduler.queue_length,
             retry_budget_left=lambda: budget.remaining(time.monotonic()),
+            hedges_left=lambda: scheduler.hedges_left,
             cold_upstreams=lambda: scheduler.cold_count(time.monotonic()),
         )
         created.set_evacuated_zones(self._evacuated_zones)
@@ -500,6 +499,58 @@
         self._dispatchers[service] = created
         return created
 
+    def _new_scheduler(
+        self,
+        service: str,
+        budget: retry_budget.RetryBudget,
+        rng: random.Random,
+    ) -> route_scheduling.RouteScheduler:
+        scheduler = route_scheduling.RouteScheduler(
+            availability_zone=self._cfg.availability_zone,
+            cross_zone_penalty_s=_CROSS_ZONE_PENALTY_S,
+            budget=budget,
+            probes=probe_rounds.ProbeRounds(
+                availability_zone=self._cfg.availability_zone,
+                rate_per_upstream_s=(
+                    _PROBE_RATE_SHARE * self._cfg.probes_per_upstream_s
+                ),
+            ),
+            rng=rng,
+            nodes=self._node_count or 1,
+            node=self._cfg.node,
+            gate=dispatch_gate.CombinedGate(
+                parts=(
+                    self._keys.gate,
+                    *self._cold_gates(
+                        service, lambda *args: scheduler.is_cold(*args)
+                    ),
+                )
+            ),
+            hedge_share=self._cfg.hedge_share,
+            limits_cold=lambda: self._cold_calls_per_s(service) > 0.0,
+        )
+        return scheduler
+
+    def _scheduler_to_explain(
+        self, service: str
+    ) -> route_scheduling.RouteScheduler:
+        """Returns a service's scheduler, a new one if it had no call yet."""
+        existing = self._schedulers.get(service)
+        if existing is not None:
+            return existing
+        scheduler = self._new_scheduler(
+            service, self._new_retry_budget(), random.Random()
+        )
+        listed = self._upstreams.get(service, ())
+        for event in (
+            calls.ZonesEvacuated(zones=self._evacuated_zones),
+            calls.UpstreamsChanged(
+                upstreams=listed, cold_until=self._cold_until
+            ),
+        ):
+            scheduler.handle(event=event, now=time.monotonic())
+        return scheduler
+
     def _proof_age_s(self) -> float | None:
         if self._cfg.revocation is None or not self._keys.has_accounts:
             return None
@@ -585,39 +636,23 @@
             CallRefusedError: the call has certainly not run.
         """
         record = request.record
-        route = self._find_route(request)
+        route = self._find_route(request.host, request.path)
         # The configuration may have changed while the body was read.
         account = self._keys.authenticate(request, route)
         record.route = route
         record.service = self._routes.choose_service(route)
-        timeout_s = route.timeout_s
-        if request.deadline_s is not None:
-            timeout_s = min(timeout_s, request.deadline_s)
-        record.deadline = record.started_at + timeout_s
-        stops_at = self._graceful_stop.stop_deadline_at
-        if stops_at is not None:
-            stops_at -= _LAST_RESPONSE_RESERVE_S
-            record.deadline = min(record.deadline, stops_at)
-        waited_s = self._caller_waits.waited_s(
-            route=route.name, deadline_s=request.deadline_s
-        )
-        call = calls.Call(
+        call = self._new_call(
             call_id=record.call_id,
-            client_account=record.client_account,
-            call_class=calls.CallClass.LOOKUP,
-            idempotent=route.idempotent,
-            arrived_at=record.started_at,
-            deadline=record.deadline,
-            hedge=route.idempotent,
-            route=route.name,
-            target_at=record.started_at + route.target_latency_s - waited_s,
-            waited_s=waited_s,
-            max_attempts=route.max_attempts,
-            priority=route.priority,
-            stops_at=stops_at,
-            account_priority=self._keys.account_priority(account, route),
+            route=route,
+            started_at=record.started_at,
+            deadline_s=request.deadline_s,
+            account=account,
+            waited_s=self._caller_waits.waited_s(
+                route=route.name, deadline_s=request.deadline_s
+            ),
             key_digest=None if account is None else request.key_digest,
         )
+        record.deadline = call.deadline
 
         def finish(
             resp: upstream_client.Response | None, exc: Exception | None
@@ -663,6 +698,43 @@
             on_failed=lambda exc: on_done(None, exc),
         )
 
+    def _new_call(
+        self,
+        *,
+        call_id: int,
+        route: routing.Route,
+        started_at: float,
+        deadline_s: float | None,
+        account: routing.Account | None,
+        key_digest: str | None,
+        waited_s: float = 0.0,
+    ) -> calls.Call:
+        timeout_s = route.timeout_s
+        if deadline_s is not None:
+            timeout_s = min(timeout_s, deadline_s)
+        deadline = started_at + timeout_s
+        stops_at = self._graceful_stop.stop_deadline_at
+        if stops_at is not None:
+            stops_at -= _LAST_RESPONSE_RESERVE_S
+            deadline = min(deadline, stops_at)
+        return calls.Call(
+            call_id=call_id,
+            client_account="" if account is None else account.name,
+            call_class=calls.CallClass.LOOKUP,
+            idempotent=route.idempotent,
+            arrived_at=started_at,
+            deadline=deadline,
+            hedge=route.idempotent,
+            route=route.name,
+            target_at=started_at + route.target_latency_s - waited_s,
+            waited_s=waited_s,
+            max_attempts=route.max_attempts,
+            priority=route.priority,
+            stops_at=stops_at,
+            account_priority=self._keys.account_priority(account, route),
+            key_digest=key_digest,
+        )
+
     def _check_key(self, request: caller_calls.CallerRequest) -> None:
         """Refuses a request for its key before its body is read.
 
@@ -672,7 +744,7 @@
         record = request.record
         if request.presented_key is None:
             return
-        route = self._find_route(request)
+        route = self._find_route(request.host, request.path)
         if self._keys.authenticate(request, route) is not None:
             self._graceful_stop.call_started(
                 lifecycle.RunningCall(
@@ -682,7 +754,7 @@
                 )
             )
 
-    def _find_route(self, request: caller_calls.CallerRequest) -> routing.Route:
+    def _find_route(self, host: str, path: str) -> routing.Route:
         if self._graceful_stop.listeners_closed:
             raise exceptions.CallRefusedError(
                 code=errors.ErrorCode.STOPPING,
@@ -695,7 +767,7 @@
                 message="this node knows no configuration yet",
                 retry_after_s=_NOT_CONFIGURED_RETRY_AFTER_S,
             )
-        route = self._routes.find(host=request.host, path=request.path)
+        route = self._routes.find(host=host, path=path)
         match route:
             case None:
                 raise exceptions.CallRefusedError(
