Grant tokens to first requests before returning callers

Cause: while an account is over its limit, most of its requests are those of callers that were refused and returned. They took most tokens and were late in spite of them; first requests, which the limit allows, were refused. Change: returning callers wait in a lane of their own and ask for further tokens. For 2 s after a first request was refused, the owner grants these from the upper half of the bucket. The messages do not change. The property test of the bound now mixes both kinds.

--- a/bench/usage_fleet.py
+++ b/bench/usage_fleet.py
@@ -9,8 +9,8 @@
 import heapq
 import itertools
 
-from tanagerspoke.coordination.usage_limits import allowance
 from tanagerspoke.coordination.usage_limits import grants
+from tanagerspoke.coordination.usage_limits import lanes
 from tanagerspoke.coordination.usage_limits import ownership
 from tanagerspoke.coordination.usage_limits import shares
 from tanagerspoke.coordination.usage_limits import verdicts
@@ -48,7 +48,7 @@
         self.grants = grants.Grants(
             divide=divide, starts_full_until=starts_full_until
         )
-        self.allowance = allowance.Allowance(
+        self.lanes = lanes.Lanes(
             node=node,
             owners=self.owners,
             first_request_id=number * _IDS_PER_PROCESS,
@@ -62,11 +62,11 @@
         self.accounts = accounts
         self.owners.set_accounts(accounts)
         self._update_roles(now)
-        return self.allowance.set_accounts(accounts)
+        return self.lanes.set_accounts(accounts)
 
     def set_nodes(self, nodes: frozenset[str], now: float) -> None:
         self.owners.set_nodes(nodes)
-        self.allowance.set_nodes(nodes)
+        self.lanes.set_nodes(nodes)
         self._update_roles(now)
 
     def _update_roles(self, now: float) -> None:
@@ -165,7 +165,7 @@
         process = next(iter(self._processes.values()))
         return process.owners.owners(account)
 
-    def call(self, node: str, account: str) -> None:
+    def call(self, node: str, account: str, *, is_retry: bool = False) -> None:
         """Makes a call on a node; calls to a stopped node are lost."""
         waiter_id = next(self._waiter_ids)
         process = self._processes.get(node)
@@ -174,8 +174,11 @@
         self._account_of_waiter[waiter_id] = account
         self._execute(
             process,
-            process.allowance.acquire(
-                account=account, waiter_id=waiter_id, now=self.now
+            process.lanes.acquire(
+                account=account,
+                waiter_id=waiter_id,
+                is_retry=is_retry,
+                now=self.now,
             ),
         )
 
@@ -192,7 +195,7 @@
                     if node != process.node:
                         self._send(process.node, node, request)
                         continue
-                    pending += process.allowance.receive(
+                    pending += process.lanes.receive(
                         node=node,
                         reply=process.grants.answer(request, self.now),
                         now=self.now,
@@ -200,7 +203,7 @@
         self._schedule_tick(process)
 
     def _schedule_tick(self, process: _Process) -> None:
-        wakeup_at = process.allowance.next_wakeup
+        wakeup_at = process.lanes.next_wakeup
         if wakeup_at is None or (
             process.wakeup_at is not None and process.wakeup_at <= wakeup_at
         ):
@@ -211,7 +214,7 @@
     def _tick(self, process: _Process) -> None:
         process.wakeup_at = None
         if self._processes.get(process.node) is process:
-            self._execute(process, process.allowance.tick(self.now))
+            self._execute(process, process.lanes.tick(self.now))
 
     def _send(self, source: str, target: str, message: usage.Message) -> None:
         size = len(codec.encode(message)) + _HEADER_BYTES
@@ -235,7 +238,7 @@
             case usage.TokenReply():
                 self._execute(
                     process,
-                    process.allowance.receive(
+                    process.lanes.receive(
                         node=source, reply=message, now=self.now
                     ),
                 )
--- a/tanagerspoke/coordination/usage_limits/allowance.py
+++ b/tanagerspoke/coordination/usage_limits/allowance.py
@@ -58,6 +58,8 @@
         node: str,
         owners: ownership.Ownership,
         first_request_id: int,
+        silent_nodes: silence.Silence | None = None,
+        for_retries: bool = False,
     ) -> None:
         """Creates a state without accounts.
 
@@ -66,8 +68,14 @@
             owners: the owners of accounts; changed by its holder.
             first_request_id: random, so that a late answer to an earlier
                 process of this node is not taken as an answer to this one.
+            silent_nodes: nodes that do not answer; None for a state of its
+                own.
+            for_retries: whether the calls are those of callers that return.
+                Their tokens are requested as further ones, which the owner
+                grants after those of first requests.
         """
         self._node = node
+        self._for_retries = for_retries
         self._owners = owners
         self._next_request_id = first_request_id % usage.REQUEST_IDS
         self._demands: dict[str, demand.Demand] = {}
@@ -75,7 +83,7 @@
         self._rounds: dict[str, _Round] = {}
         # In the order of sending.
         self._open_requests: dict[int, _OpenRequest] = {}
-        self._silence = silence.Silence()
+        self._silence = silent_nodes or silence.Silence()
 
     @property
     def waiting_calls(self) -> int:
@@ -202,6 +210,12 @@
         if not account_demand.waiting:
             return []
         match reply.result:
+            case usage.Result.GRANTED if (
+                self._for_retries and reply.granted < request.waiting
+            ):
+                return account_demand.refuse_waiting(
+                    reply, now, hold_off=request.node != self._node
+                )
             case usage.Result.GRANTED:
                 # The calls that wait came after the request was sent.
                 return self._start_round(account, now)
@@ -250,7 +264,7 @@
         account_demand = self._demands[account]
         waiting = min(len(account_demand.waiting), usage.MAX_TOKENS)
         extra = 0
-        if node != self._node:
+        if node != self._node and not self._for_retries:
             extra = account_demand.expected_calls(now)
         return [self._ask(account, node, now, waiting=waiting, extra=extra)]
 
@@ -301,8 +315,8 @@
             request=usage.TokenRequest(
                 request_id=request_id,
                 account=account,
-                waiting=waiting,
-                extra=extra,
+                waiting=0 if self._for_retries else waiting,
+                extra=waiting if self._for_retries else extra,
             ),
         )
 
--- a/tanagerspoke/coordination/usage_limits/backup_pool.py
+++ b/tanagerspoke/coordination/usage_limits/backup_pool.py
@@ -38,12 +38,21 @@
         self._calls = calls
         self._window_s = window_s
 
-    def take(self, wanted: int, now: float) -> int:
-        """Returns the number of tokens granted, at most `wanted`."""
+    def take(
+        self, wanted: int, now: float, *, reserved_share: float = 0.0
+    ) -> int:
+        """Returns the number of tokens granted, at most `wanted`.
+
+        Args:
+            wanted: number of tokens.
+            now: seconds of the backup owner's monotonic clock.
+            reserved_share: share of the pool that is not granted.
+        """
         self._drop_expired(now)
         if now < self._available_from:
             return 0
-        granted = min(wanted, max(0, int(self._calls) - self._granted))
+        available = int(self._calls * (1.0 - reserved_share))
+        granted = min(wanted, max(0, available - self._granted))
         if granted:
             self._count(granted, now)
         return granted
--- a/tanagerspoke/coordination/usage_limits/grants.py
+++ b/tanagerspoke/coordination/usage_limits/grants.py
@@ -17,6 +17,8 @@
     BACKUP = "backup"
 
 
+# Share of a pool that callers that return leave to first requests.
+_RESERVED_POOL_SHARE = 0.5
 _ROLES_BY_RANK = (Role.OWNER, Role.BACKUP)
 
 
@@ -136,8 +138,14 @@
 def _answer_from_bucket(
     bucket: token_bucket.TokenBucket, request: usage.TokenRequest, now: float
 ) -> usage.TokenReply:
-    granted = bucket.take(waiting=request.waiting, extra=request.extra, now=now)
-    refused = request.waiting - granted
+    if request.is_for_retries:
+        granted = bucket.take_for_retries(request.extra, now)
+        refused = request.extra - granted
+    else:
+        granted = bucket.take(
+            waiting=request.waiting, extra=request.extra, now=now
+        )
+        refused = request.waiting - granted
     if refused <= 0:
         return usage.TokenReply(
             request_id=request.request_id,
@@ -157,8 +165,11 @@
     pool: backup_pool.BackupPool, request: usage.TokenRequest, now: float
 ) -> usage.TokenReply:
     # Tokens that nobody waits for are not taken from the small pool.
-    granted = pool.take(request.waiting, now)
-    if granted >= request.waiting:
+    waiting, reserved_share = request.waiting, 0.0
+    if request.is_for_retries:
+        waiting, reserved_share = request.extra, _RESERVED_POOL_SHARE
+    granted = pool.take(waiting, now, reserved_share=reserved_share)
+    if granted >= waiting:
         return usage.TokenReply(
             request_id=request.request_id,
             result=usage.Result.GRANTED,
--- a/tanagerspoke/coordination/usage_limits/token_bucket.py
+++ b/tanagerspoke/coordination/usage_limits/token_bucket.py
@@ -7,6 +7,10 @@
 # Tokens that nobody waits for are granted only from the upper half of the
 # bucket: near the limit, one that expires unused is missing elsewhere.
 _RESERVED_SHARE = 0.5
+# Time after the refusal of a first request in which callers that return get
+# tokens only from the upper half as well. Otherwise they would take those of
+# first requests, and be late in spite of them.
+_OVER_LIMIT_MEMORY_S = 2.0
 
 
 class TokenBucket:
@@ -27,6 +31,7 @@
         self._refilled_at = now
         # Time of the last token that a refused call was told to come back for.
         self._booked_until = float("-inf")
+        self._over_limit_until = float("-inf")
 
     def set_limit(
         self, *, calls_per_s: float, burst_calls: float, now: float
@@ -48,12 +53,29 @@
         """
         self._refill(now)
         granted = min(waiting, int(self._tokens))
+        if granted < waiting:
+            self._over_limit_until = now + _OVER_LIMIT_MEMORY_S
         reserved = _RESERVED_SHARE * self._burst_calls
         spare = self._tokens - granted - reserved
         granted += min(extra, max(0, int(spare)))
         self._tokens -= granted
         return granted
 
+    def take_for_retries(self, calls: int, now: float) -> int:
+        """Returns the number of tokens granted to callers that return.
+
+        Args:
+            calls: calls that wait for a token.
+            now: seconds of the owner's monotonic clock.
+        """
+        self._refill(now)
+        reserved = 0.0
+        if now < self._over_limit_until:
+            reserved = _RESERVED_SHARE * self._burst_calls
+        granted = min(calls, max(0, int(self._tokens - reserved)))
+        self._tokens -= granted
+        return granted
+
     def seconds_to_next(self, now: float) -> float:
         """Returns the time until the bucket holds a token."""
         self._refill(now)
--- a/tanagerspoke/protocol/usage.py
+++ b/tanagerspoke/protocol/usage.py
@@ -48,9 +48,10 @@
 
     Attributes:
         request_id: number of the request at its sender.
-        waiting: calls that wait for a token; with 0, the request only checks
-            that the node answers.
-        extra: further tokens, for calls that are expected soon.
+        waiting: calls that wait for a token; with 0 and nothing extra, the
+            request only checks that the node answers.
+        extra: further tokens, for calls that are expected soon. Without calls
+            that wait, they are for callers that return after a refusal.
     """
 
     request_id: _RequestId
@@ -58,6 +59,11 @@
     waiting: _Tokens
     extra: _Tokens = 0
 
+    @property
+    def is_for_retries(self) -> bool:
+        """Whether the tokens are for callers that return."""
+        return not self.waiting and self.extra > 0
+
 
 class TokenReply(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=2
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -693,7 +693,9 @@
         if self._usage is None or account is None or not account.calls_per_s:
             return start()
         return usage_admission.start_when_admitted(
-            acquire=functools.partial(self._usage.acquire, account),
+            acquire=functools.partial(
+                self._usage.acquire, account, is_retry=call.waited_s > 0.0
+            ),
             start=start,
             on_failed=lambda exc: on_done(None, exc),
         )
--- a/tanagerspoke/transport/peers/usage_service.py
+++ b/tanagerspoke/transport/peers/usage_service.py
@@ -8,8 +8,8 @@
 import random
 import time
 
-from tanagerspoke.coordination.usage_limits import allowance
 from tanagerspoke.coordination.usage_limits import grants
+from tanagerspoke.coordination.usage_limits import lanes
 from tanagerspoke.coordination.usage_limits import ownership
 from tanagerspoke.coordination.usage_limits import shares
 from tanagerspoke.coordination.usage_limits import verdicts
@@ -70,7 +70,7 @@
                 clock() + _FIRST_START_S if cfg.first_start else float("-inf")
             ),
         )
-        self._allowance = allowance.Allowance(
+        self._lanes = lanes.Lanes(
             node=cfg.node,
             owners=self._owners,
             first_request_id=rng.randrange(usage.REQUEST_IDS),
@@ -128,7 +128,7 @@
         names = frozenset(node.name for node in nodes)
         self._socket.set_nodes(nodes)
         self._owners.set_nodes(names)
-        self._allowance.set_nodes(names)
+        self._lanes.set_nodes(names)
         self._update_roles()
 
     def set_accounts(
@@ -143,18 +143,25 @@
         self._owners.set_accounts(self._accounts)
         self._metrics.set_accounts(self._accounts)
         self._update_roles()
-        self._execute(self._allowance.set_accounts(self._accounts))
+        self._execute(self._lanes.set_accounts(self._accounts))
 
     def held_tokens(self, account: str) -> int:
         """Returns the tokens that this node holds for an account's calls."""
-        return self._allowance.held_tokens(account, self._boot_clock())
+        return self._lanes.held_tokens(account, self._boot_clock())
 
     def acquire(
-        self, account: routing.Account, on_verdict: OnVerdict
+        self,
+        account: routing.Account,
+        on_verdict: OnVerdict,
+        *,
+        is_retry: bool = False,
     ) -> Callable[[], None]:
         """Asks for a token for a call of an account with a limit.
 
-        `on_verdict` is called once, possibly before this returns.
+        Args:
+            account: the account.
+            on_verdict: called once, possibly before this returns.
+            is_retry: whether the caller returns after an earlier request.
 
         Returns:
             A function that ends the wait; `on_verdict` is not called later.
@@ -163,9 +170,10 @@
         self._next_waiter_id += 1
         self._on_verdicts[waiter_id] = (account.name, on_verdict)
         self._execute(
-            self._allowance.acquire(
+            self._lanes.acquire(
                 account=account.name,
                 waiter_id=waiter_id,
+                is_retry=is_retry,
                 now=self._boot_clock(),
             )
         )
@@ -173,7 +181,7 @@
 
     def _cancel(self, waiter_id: int) -> None:
         if self._on_verdicts.pop(waiter_id, None) is not None:
-            self._allowance.cancel(waiter_id)
+            self._lanes.cancel(waiter_id)
 
     def _divide(self, account: routing.Account) -> shares.Shares:
         return shares.divide(account, self._tolerance)
@@ -204,7 +212,7 @@
                 self._socket.send(node, reply)
             case usage.TokenReply():
                 self._execute(
-                    self._allowance.receive(
+                    self._lanes.receive(
                         node=node, reply=message, now=self._boot_clock()
                     )
                 )
@@ -240,7 +248,7 @@
                     self._socket.send(node, request)
                     return
                 self._actions.extend(
-                    self._allowance.receive(
+                    self._lanes.receive(
                         node=node,
                         reply=self._answer(request),
                         now=self._boot_clock(),
@@ -270,7 +278,7 @@
         on_verdict(verdict)
 
     def _arm_timer(self) -> None:
-        wakeup_at = self._allowance.next_wakeup
+        wakeup_at = self._lanes.next_wakeup
         if wakeup_at is None or (
             self._timer is not None and self._timer_at <= wakeup_at
         ):
@@ -286,7 +294,7 @@
 
     def _on_timer(self) -> None:
         self._timer = None
-        self._execute(self._allowance.tick(self._boot_clock()))
+        self._execute(self._lanes.tick(self._boot_clock()))
 
 
 def _tolerance(limits: edge.UsageLimits) -> shares.Tolerance:
--- a/tests/coordination/usage_limits/test_bound.py
+++ b/tests/coordination/usage_limits/test_bound.py
@@ -102,7 +102,12 @@
         time_s += rng.uniform(0.0, 2.0 * count / calls_per_s)
         node = rng.choice(fleet.nodes)
         for _ in range(count):
-            fleet.at(time_s, functools.partial(fleet.call, node, "a"))
+            fleet.at(
+                time_s,
+                functools.partial(
+                    fleet.call, node, "a", is_retry=rng.random() < 0.5
+                ),
+            )
 
 
 def _excess(
--- a/tests/transport/test_usage_limits.py
+++ b/tests/transport/test_usage_limits.py
@@ -306,4 +306,4 @@
         assert {status for status, _ in results} == {503}
         assert all(0 < wait_s <= 0.3 for _, wait_s in results)
         assert sum(len(w.ran) for w in cluster.workers) == ran
-        assert usage_of._allowance.waiting_calls == 0
+        assert usage_of._lanes.waiting_calls == 0
