Do not repeat reads while the store is unreachable

Cause: the HTTP session repeats a GET whose connection breaks. Change: a middleware lets only the first failure be repeated, which a stale kept connection needs.

--- a/tanagerspoke/platform/store.py
+++ b/tanagerspoke/platform/store.py
@@ -34,6 +34,7 @@
         self._base_url = f"http://{endpoint.address}:{endpoint.port}"
         self._session: aiohttp.ClientSession | None = None
         self._exchanged_bytes = 0
+        self._last_request_failed = False
 
     @property
     def exchanged_bytes(self) -> int:
@@ -43,7 +44,8 @@
     async def start(self) -> None:
         """Implements `StoreSource`."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(keepalive_timeout=30.0)
+            connector=aiohttp.TCPConnector(keepalive_timeout=30.0),
+            middlewares=(self._repeat_only_first_failure,),
         )
 
     async def close(self) -> None:
@@ -193,6 +195,26 @@
         self._exchanged_bytes += len(data)
         await self._request("POST", "/rows-tx", data=data)
 
+    async def _repeat_only_first_failure(
+        self,
+        req: aiohttp.ClientRequest,
+        send: aiohttp.ClientHandlerType,
+    ) -> aiohttp.ClientResponse:
+        """Sends a request; see `aiohttp.ClientMiddlewareType`.
+
+        The session repeats a GET whose connection breaks, which is right for
+        a kept connection that has gone stale. While the store refuses
+        connections, it would double the calls of all nodes.
+        """
+        try:
+            return await send(req)
+        except (aiohttp.ClientConnectionError, OSError) as exc:
+            if self._last_request_failed:
+                raise exceptions.PlatformUnavailableError(
+                    f"{req.method} {req.url.path}: {type(exc).__name__}: {exc}"
+                ) from exc
+            raise
+
     async def _request(
         self, method: str, path: str, *, wait_s: float = 0.0, **kwargs: Any
     ) -> bytes:
@@ -207,9 +229,11 @@
                     body = await resp.read()
                     self._exchanged_bytes += len(body)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            self._last_request_failed = True
             raise exceptions.PlatformUnavailableError(
                 f"{method} {path}: {type(exc).__name__}: {exc}"
             ) from exc
+        self._last_request_failed = False
         if resp.status == _HISTORY_LOST_STATUS:
             raise exceptions.HistoryLostError(f"{method} {path}")
         if resp.status != 200:
