Return to a zone in steps over the whole fleet

Cause: after a zone's return, each node raised the attempt limits of its upstreams alone, from one attempt: 41 nodes may send 41 calls at once to an upstream with six slots. Ruled out: tokens as for cold upstreams, which would need a list of nodes and leave an upstream unused while its nodes are cut off. Change: a node begins when the ramp passes its position in the upstream's order of nodes. If no other upstream is left, all begin at once. Deployments without evacuated zones are not affected.

--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -1,6 +1,7 @@
 """Schedules the calls of one service by route, latency target and deadline."""
 
 from collections.abc import Callable
+import functools
 
 from tanagerspoke.coordination import balancing
 from tanagerspoke.coordination import call_attempts
@@ -95,7 +96,10 @@
         self._probes = probes
         self._rng = rng
         self._nodes = max(1, nodes)
-        self._view = loads.LoadView(exact_for_s=probe_rounds.MAX_FRESH_AGE_S)
+        self._view = loads.LoadView(
+            exact_for_s=probe_rounds.MAX_FRESH_AGE_S,
+            position=functools.partial(subsetting.position, node),
+        )
         self._cold = cold_choice.ColdChoice(
             view=self._view, limits_cold=limits_cold
         )
--- a/tanagerspoke/coordination/subsetting.py
+++ b/tanagerspoke/coordination/subsetting.py
@@ -39,6 +39,16 @@
     return frozenset(u.upstream_id for u in ranked[:size])
 
 
+def position(node: str, upstream_id: str) -> float:
+    """Returns a node's position in an upstream's order of nodes.
+
+    Positions are spread evenly over 0 to 1, so that a share of the nodes is
+    below each value, whichever nodes there are.
+    """
+    weight = _weight(node, upstream_id)
+    return int.from_bytes(weight) / 256 ** len(weight)
+
+
 def _weight(node: str, upstream_id: str) -> bytes:
     text = f"{node}\0{upstream_id}".encode("utf-8", "surrogatepass")
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/tanagerspoke/state/loads.py
+++ b/tanagerspoke/state/loads.py
@@ -1,7 +1,7 @@
 """Estimated load of the upstreams of one service, as one process sees it."""
 
 import collections
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from tanagerspoke.protocol import upstreams
 
@@ -71,6 +71,8 @@
         ramp_starts_at: start of the gradual increase of its attempt limit; in
             the future while it is ejected, None where the limit is not
             reduced.
+        ramp_min_share: share of its slots that the ramp must have reached
+            before this process sends it calls.
         ejected_until: end of its ejection.
         probe_failures: probes without a response since the last report.
         probe_last_until: time until which it is probed after the others,
@@ -101,6 +103,7 @@
         "draining",
         "listed",
         "ramp_starts_at",
+        "ramp_min_share",
         "ejected_until",
         "paused_until",
         "entry_cold_until",
@@ -130,6 +133,7 @@
         self.draining = False
         self.listed = True
         self.ramp_starts_at: float | None = None
+        self.ramp_min_share = 0.0
         self.ejected_until = 0.0
         self.paused_until = float("-inf")
         self.entry_cold_until = float("-inf")
@@ -215,7 +219,10 @@
         )
         if share >= 1.0:
             self.ramp_starts_at = None
+            self.ramp_min_share = 0.0
             return self.slots
+        if share < self.ramp_min_share:
+            return 0
         return max(1, int(self.slots * share))
 
     def record_duration(self, *, ratio: float, pull: bool, now: float) -> None:
@@ -284,7 +291,11 @@
     """
 
     def __init__(
-        self, *, use_reports: bool = True, exact_for_s: float | None = None
+        self,
+        *,
+        use_reports: bool = True,
+        exact_for_s: float | None = None,
+        position: Callable[[str], float] = lambda upstream_id: 0.0,
     ) -> None:
         """Creates a view without upstreams.
 
@@ -292,7 +303,11 @@
             use_reports: whether load reports are used.
             exact_for_s: age up to which reported calls are used without decay;
                 None where they decay from the start.
+            position: returns the position of this process, from 0 to 1, in
+                the order in which processes send calls to an upstream whose
+                zone returns.
         """
+        self._position = position
         self._use_reports = use_reports
         self._exact_for_s = exact_for_s
         self._records: dict[str, UpstreamLoad] = {}
@@ -371,11 +386,19 @@
         """Sets the zones whose upstreams get nothing more.
 
         When a zone returns, the attempt limits of its upstreams rise in a
-        ramp.
+        ramp, and so does the share of the processes that send them calls:
+        one call of each of them would fill an upstream at once. Without
+        upstreams in other zones, all processes begin together.
         """
         self._evacuated_zones = zones
+        has_others = bool(self.eligible)
         for record in self._records.values():
+            was_evacuated = record.evacuated
             self._set_evacuated(record, now)
+            if was_evacuated and not record.evacuated and has_others:
+                record.ramp_min_share = self._position(
+                    record.upstream.upstream_id
+                )
         self._refresh_eligible()
 
     def _set_evacuated(self, record: UpstreamLoad, now: float) -> None:
