Show the state of an edge node to operators

Cause: metrics and log events did not show why an account is refused: its limit and owners, the freshness proof, or the load of a service. Ruled out: the whole state without a bound, which grows with the configuration; use of `Silence` for the owners' state, since it forgets a silent node after a second. Ended calls of the last 10 s are counted by account and result only where the configuration has accounts. Proofs record their source, evacuated zones their store version, and refusals the node that decided. `where` and `status` share the request to the edge, with a bound on the answer's size.

--- a/tanagerspoke/commands/status.py
+++ b/tanagerspoke/commands/status.py
@@ -1,21 +1,66 @@
 """The subcommand `tanagerspokectl status`."""
 
 import pathlib
+import sys
 
 from tanagerspoke.commands import ctl_command
+from tanagerspoke.commands import edge_requests
+from tanagerspoke.commands import edge_status_text
 from tanagerspoke.commands import entry_hosts
+from tanagerspoke.commands import program
+from tanagerspoke.protocol import edge_status
 from tanagerspoke.settings import options
 from tanagerspoke.state import revisions
 from tanagerspoke.transport.store import platform_client
 
+_PATH = "/status"
 
-def status(*, settings: pathlib.Path) -> None:
-    """Lists the revision in force on each entry host.
+
+def status(
+    *,
+    settings: pathlib.Path | None = None,
+    url: str = "",
+    account: str = "",
+    service: str = "",
+    json: bool = False,
+) -> None:
+    """Lists the revision in force on each entry host, or the state of an edge.
+
+    With a URL, it shows the edge's accounts with their limits, recent calls
+    and owners, its freshness proof, configuration, evacuated zones and
+    services. Exits with 1 if the edge can't be reached, and with 2 if the
+    arguments are invalid.
 
     Args:
-        settings: JSON settings file.
+        settings: JSON settings file, for the entry hosts.
+        url: metrics port of an edge, such as http://127.0.0.1:9464.
+        account: name of the only client account to show; never a key.
+        service: name of the only service to show.
+        json: prints the answer of the edge as JSON.
     """
+    if (settings is None) == (not url):
+        print("give either --settings or --url", file=sys.stderr)
+        raise SystemExit(program.EXIT_INVALID)
+    if settings is not None:
+        if account or service or json:
+            print("--account, --service and --json need --url", file=sys.stderr)
+            raise SystemExit(program.EXIT_INVALID)
+        _show_entry_hosts(settings)
+        return
+    names = {"account": account, "service": service}
+    body, answer = edge_requests.ask(
+        url=url,
+        path=_PATH,
+        params={key: name for key, name in names.items() if name},
+        answer_type=edge_status.EdgeStatus,
+    )
+    if json:
+        print(body.decode())
+    else:
+        print("\n".join(edge_status_text.describe(answer)))
+
 
+def _show_entry_hosts(settings: pathlib.Path) -> None:
     async def job(
         cfg: options.Ctl, client: platform_client.PlatformClient
     ) -> None:
--- a/tanagerspoke/commands/where.py
+++ b/tanagerspoke/commands/where.py
@@ -3,16 +3,12 @@
 from collections.abc import Iterator
 import sys
 
-import aiohttp
-import msgspec
-
-from tanagerspoke import exceptions
+from tanagerspoke.commands import edge_requests
 from tanagerspoke.commands import program
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import placement
 
 _PATH = "/where"
-_TIMEOUT_S = 5.0
 _REASONS = {
     placement.Exclusion.LEAVING: "leaving, by its entry",
     placement.Exclusion.DRAINING: "draining, by its own notice or report",
@@ -63,21 +59,9 @@
         params["account"] = account
     if deadline_ms is not None:
         params["deadline"] = str(deadline_ms / 1000.0)
-    status, body = program.run_command(
-        name="tanagerspokectl",
-        log_level="WARNING",
-        job=_fetch(url.rstrip("/") + _PATH, params),
+    body, explanation = edge_requests.ask(
+        url=url, path=_PATH, params=params, answer_type=placement.Explanation
     )
-    if status == 400:
-        print(_error_message(body), file=sys.stderr)
-        raise SystemExit(program.EXIT_INVALID)
-    try:
-        if status != 200:
-            raise ValueError(f"status {status}")
-        explanation = msgspec.json.decode(body, type=placement.Explanation)
-    except ValueError as exc:
-        print(f"{url}: not an answer of an edge: {exc}", file=sys.stderr)
-        raise SystemExit(program.EXIT_FAILED) from exc
     if json:
         print(body.decode())
     else:
@@ -88,34 +72,6 @@
         raise SystemExit(program.EXIT_FAILED)
 
 
-async def _fetch(url: str, params: dict[str, str]) -> tuple[int, bytes]:
-    """Returns status and body of the edge's answer.
-
-    Raises:
-        ProtocolError: the edge can't be reached.
-    """
-    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
-    try:
-        async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
-            session.get(url, params=params) as resp,
-        ):
-            return resp.status, await resp.read()
-    except TimeoutError as exc:
-        message = f"{url}: no answer within {_TIMEOUT_S:g} s"
-        raise exceptions.ProtocolError(message) from exc
-    except (aiohttp.ClientError, ValueError) as exc:
-        message = f"{url}: the edge can't be reached: {exc}"
-        raise exceptions.ProtocolError(message) from exc
-
-
-def _error_message(body: bytes) -> str:
-    try:
-        return msgspec.json.decode(body, type=dict[str, str])["error"]
-    except (ValueError, KeyError):
-        return body.decode(errors="replace")
-
-
 def describe(explanation: placement.Explanation) -> Iterator[str]:
     """Yields the lines of an explanation."""
     yield (
--- a/tanagerspoke/coordination/accounts/freshness.py
+++ b/tanagerspoke/coordination/accounts/freshness.py
@@ -42,6 +42,11 @@
         """Version in force, None before the first."""
         return self._version
 
+    @property
+    def proven_at(self) -> float | None:
+        """Time of the newest proof, None if there is none."""
+        return self._proven_at
+
     def set_bound(self, bound_s: float | None) -> None:
         """Sets the time after which a removed key must not run any call.
 
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -138,6 +138,11 @@
         )
         return min((at for at in wakeups if at is not None), default=None)
 
+    @property
+    def view(self) -> loads.LoadView:
+        """Upstreams of the service with their load; not to be changed."""
+        return self._view
+
     @property
     def queue_length(self) -> int:
         """Calls that wait for an upstream."""
--- a/tanagerspoke/coordination/usage_limits/allowance.py
+++ b/tanagerspoke/coordination/usage_limits/allowance.py
@@ -211,7 +211,10 @@
             case _:
                 # This node's own answers cost no messages.
                 return account_demand.refuse_waiting(
-                    reply, now, hold_off=request.node != self._node
+                    reply,
+                    now,
+                    hold_off=request.node != self._node,
+                    decided_by=request.node,
                 )
 
     def _start_round(self, account: str, now: float) -> list[verdicts.Action]:
--- a/tanagerspoke/coordination/usage_limits/demand.py
+++ b/tanagerspoke/coordination/usage_limits/demand.py
@@ -46,6 +46,7 @@
         self._hold_off_until = float("-inf")
         self._hold_off_result = usage.Result.OVER_LIMIT
         self._told_until = float("-inf")
+        self._decided_by = ""
 
     @property
     def give_up_at(self) -> float:
@@ -79,7 +80,12 @@
         return actions
 
     def refuse_waiting(
-        self, reply: usage.TokenReply, now: float, *, hold_off: bool
+        self,
+        reply: usage.TokenReply,
+        now: float,
+        *,
+        hold_off: bool,
+        decided_by: str = "",
     ) -> list[verdicts.Action]:
         """Refuses all waiting calls after a reply without enough tokens.
 
@@ -88,6 +94,7 @@
             now: seconds of the node's clock.
             hold_off: whether later calls are refused as well until the owner
                 expects a token.
+            decided_by: node that replied.
         """
         next_token_s = reply.next_token_ms / 1000.0
         if hold_off:
@@ -98,6 +105,7 @@
                 max(next_token_s, _MIN_HOLD_OFF_S), longest_s
             )
         self._hold_off_result = reply.result
+        self._decided_by = decided_by
         self._told_until = (
             now + reply.retry_after_ms / 1000.0 - self._interval_s
         )
@@ -137,7 +145,8 @@
         if self._hold_off_result is usage.Result.POOL_EMPTY:
             return unconfirmed()
         return verdicts.OverLimit(
-            retry_after_s=max(_MIN_RETRY_AFTER_S, self._told_until - now)
+            retry_after_s=max(_MIN_RETRY_AFTER_S, self._told_until - now),
+            decided_by=self._decided_by,
         )
 
 
--- a/tanagerspoke/coordination/usage_limits/verdicts.py
+++ b/tanagerspoke/coordination/usage_limits/verdicts.py
@@ -17,9 +17,11 @@
 
     Attributes:
         retry_after_s: time until a token is expected for this call.
+        decided_by: node that grants the account's tokens and gave none.
     """
 
     retry_after_s: float
+    decided_by: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tanagerspoke/transport/edge_dispatchers.py
+++ b/tanagerspoke/transport/edge_dispatchers.py
@@ -10,8 +10,10 @@
 from tanagerspoke.coordination import probe_rounds
 from tanagerspoke.coordination import retry_budget
 from tanagerspoke.coordination import route_scheduling
+from tanagerspoke.coordination import service_status
 from tanagerspoke.coordination.cold_upstreams import cold_gate
 from tanagerspoke.protocol import calls
+from tanagerspoke.protocol import edge_status
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.protocol import zone_feed
 from tanagerspoke.settings import edge
@@ -199,6 +201,23 @@
             scheduler.handle(event=event, now=time.monotonic())
         return scheduler
 
+    def describe(self, service: str) -> edge_status.ServiceStatus:
+        """Returns the load and queue of a service; changes no state."""
+        scheduler = self.scheduler_to_explain(service)
+        return service_status.describe(
+            service=service,
+            view=scheduler.view,
+            queued_calls=scheduler.queue_length,
+            now=time.monotonic(),
+        )
+
+    def describe_all(self) -> dict[str, edge_status.ServiceStatus]:
+        """Returns the load and queue of each service."""
+        names = self._upstreams.keys() | self._schedulers.keys()
+        if self._routes.table is not None:
+            names |= self._routes.table.services.keys()
+        return {service: self.describe(service) for service in sorted(names)}
+
     def _new_scheduler(
         self,
         service: str,
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -11,6 +11,7 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.coordination import lifecycle
+from tanagerspoke.coordination.accounts import recent_calls
 from tanagerspoke.coordination.caller_memory import limits as memory_limits
 from tanagerspoke.protocol import routing
 from tanagerspoke.protocol import upstreams
@@ -30,6 +31,7 @@
 from tanagerspoke.transport.operations import edge_metrics
 from tanagerspoke.transport.operations import graceful_stop
 from tanagerspoke.transport.operations import log_limit
+from tanagerspoke.transport.operations import status_service
 from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.operations import where_accounts
 from tanagerspoke.transport.operations import where_service
@@ -93,6 +95,7 @@
         self._rng = random.Random()
         self._routes = routes.RouteState(rng=self._rng)
         self._limits = _INITIAL_LIMITS
+        self._recent_calls = recent_calls.RecentCalls()
         self._settings_error = ""
         self._config_problem_log_limit = log_limit.LogLimit(
             event="config_problem",
@@ -211,13 +214,28 @@
             scheduler=self._dispatchers.scheduler_to_explain,
             clock=time.monotonic,
         )
+        status = status_service.StatusService(
+            node=cfg.node,
+            availability_zone=cfg.availability_zone,
+            is_ready=self._is_ready,
+            routing_state=self._routes,
+            feed=self._zone_feed,
+            proofs=self._proofs,
+            usage=self._usage,
+            recent=self._recent_calls,
+            services=self._dispatchers.describe_all,
+            clock=time.monotonic,
+        )
         self._admin = admin_server.AdminServer(
             listen=options.Endpoint(
                 address=cfg.callers.address, port=cfg.metrics_port
             ),
             registry=registry,
             is_ready=self._is_ready,
-            handlers={where_service.PATH: where.serve},
+            handlers={
+                where_service.PATH: where.serve,
+                status_service.PATH: status.serve,
+            },
         )
 
     @property
@@ -394,6 +412,18 @@
 
     def _end_call(self, record: caller_calls.CallRecord) -> None:
         self._call_traces.end(record)
+        if self._keys.has_accounts:
+            # A malformed request may name an account of its own.
+            account = self._keys.find_account(record.client_account)
+            self._recent_calls.count(
+                "" if account is None else account.name,
+                recent_calls.result_of(
+                    record.code or "ok",
+                    rejection=record.rejection,
+                    dispatched=record.dispatched,
+                ),
+                time.monotonic(),
+            )
         self._graceful_stop.call_ended(record.call_id)
 
 
--- a/tanagerspoke/transport/peers/config_proofs.py
+++ b/tanagerspoke/transport/peers/config_proofs.py
@@ -8,6 +8,9 @@
 
 log = logging.getLogger(__name__)
 
+# Source of the proofs that answers of the store hold.
+STORE = "store"
+
 
 class ConfigProofs:
     """Collects the proofs that answers of the store and other nodes hold.
@@ -31,6 +34,12 @@
         self.freshness = freshness.ConfigFreshness(bound_s=bound_s)
         self.now_s = clock
         self._was_confirmed = True
+        self._source: str | None = None
+
+    @property
+    def source(self) -> str | None:
+        """`store` or the node that gave the newest proof, None without one."""
+        return self._source
 
     @property
     def age_s(self) -> float | None:
@@ -51,19 +60,37 @@
             version: version that the answer proved to be the newest.
             sent_at: time at which the request was sent.
         """
+        before = self.freshness.proven_at
         self.freshness.record_proof(version=version, proven_at=sent_at)
+        self._set_source(STORE, before)
         self.log_changes()
 
     def record_reply(
-        self, reply: freshness_messages.FreshnessReply, *, sent_at: float
+        self,
+        reply: freshness_messages.FreshnessReply,
+        *,
+        sent_at: float,
+        source: str,
     ) -> bool:
-        """Records the reply of another node; returns whether it counts."""
+        """Records the reply of another node; returns whether it counts.
+
+        Args:
+            reply: the reply.
+            sent_at: time at which the query was sent.
+            source: name or address of the other node.
+        """
+        before = self.freshness.proven_at
         counts = self.freshness.record_reply(
             version=reply.version, age_s=reply.age_s, sent_at=sent_at
         )
+        self._set_source(source, before)
         self.log_changes()
         return counts
 
+    def _set_source(self, source: str, proven_before: float | None) -> None:
+        if self.freshness.proven_at != proven_before:
+            self._source = source
+
     def log_changes(self) -> None:
         """Logs that calls with a key stop or start to run."""
         is_confirmed = self.freshness.is_confirmed(self.now_s())
--- a/tanagerspoke/transport/peers/evacuation_service.py
+++ b/tanagerspoke/transport/peers/evacuation_service.py
@@ -1,7 +1,7 @@
 """Keeps the set of evacuated availability zones, and passes it on."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import logging
 import random
 
@@ -52,8 +52,14 @@
         self._is_cut_off = is_cut_off
         self._other_nodes = other_nodes
         self._state = evacuated_zones.EvacuatedZones()
+        self._versions: dict[str, int] = {}
         self._rng = random.Random()
 
+    @property
+    def store_versions(self) -> Mapping[str, int]:
+        """The evacuated zones with the store version of each at this node."""
+        return self._versions
+
     @property
     def updates(self) -> list[zone_feed.ZoneUpdate]:
         """The update that holds the set; none before the first read."""
@@ -89,7 +95,9 @@
                 "zone_evacuated",
                 extra={"zone": zone, "store_version": version},
             )
+            self._versions[zone] = version
         for zone in sorted(before - after):
+            self._versions.pop(zone, None)
             log.info(
                 "zone_returned",
                 extra={"zone": zone, "store_version": version},
--- a/tanagerspoke/transport/peers/freshness_queries.py
+++ b/tanagerspoke/transport/peers/freshness_queries.py
@@ -155,7 +155,10 @@
     async def _ask(self, peer: options.Endpoint) -> None:
         sent_at = self._proofs.now_s()
         reply = await self._fetch(peer)
-        if reply is None or self._proofs.record_reply(reply, sent_at=sent_at):
+        if reply is None:
+            return
+        source = self._name(peer)
+        if self._proofs.record_reply(reply, sent_at=sent_at, source=source):
             return
         own_version = self._proofs.freshness.version
         if (
@@ -165,7 +168,14 @@
             and self._followed_node() is None
         ):
             await self._fetch_newer(peer)
-            self._proofs.record_reply(reply, sent_at=sent_at)
+            self._proofs.record_reply(reply, sent_at=sent_at, source=source)
+
+    def _name(self, peer: options.Endpoint) -> str:
+        """Returns a node's name, or its address if it is not listed."""
+        for node in self._nodes():
+            if _endpoint(node) == peer:
+                return node.name
+        return f"{peer.address}:{peer.port}"
 
     async def _fetch(
         self, peer: options.Endpoint
--- a/tanagerspoke/transport/peers/usage_service.py
+++ b/tanagerspoke/transport/peers/usage_service.py
@@ -10,9 +10,11 @@
 
 from tanagerspoke.coordination.usage_limits import allowance
 from tanagerspoke.coordination.usage_limits import grants
+from tanagerspoke.coordination.usage_limits import owner_answers
 from tanagerspoke.coordination.usage_limits import ownership
 from tanagerspoke.coordination.usage_limits import shares
 from tanagerspoke.coordination.usage_limits import verdicts
+from tanagerspoke.protocol import edge_status
 from tanagerspoke.protocol import routing
 from tanagerspoke.protocol import usage
 from tanagerspoke.protocol import zone_feed
@@ -80,6 +82,7 @@
             on_message=self._receive,
             on_ignored=metrics.count_request,
         )
+        self._owner_answers = owner_answers.OwnerAnswers()
         self._accounts: dict[str, routing.Account] = {}
         self._roles: dict[str, grants.Role] = {}
         self._on_verdicts: dict[int, tuple[str, OnVerdict]] = {}
@@ -129,6 +132,7 @@
         self._socket.set_nodes(nodes)
         self._owners.set_nodes(names)
         self._allowance.set_nodes(names)
+        self._owner_answers.keep_only(names)
         self._update_roles()
 
     def set_accounts(
@@ -149,6 +153,16 @@
         """Returns the tokens that this node holds for an account's calls."""
         return self._allowance.held_tokens(account, self._boot_clock())
 
+    def owners(self, account: str) -> tuple[edge_status.OwnerStatus, ...]:
+        """Returns the owner and the backup owner of an account."""
+        now = self._boot_clock()
+        return tuple(
+            edge_status.OwnerStatus(node=node, responds=True)
+            if node == self._node
+            else self._owner_answers.status(node, now)
+            for node in self._owners.owners(account)
+        )
+
     def acquire(
         self, account: routing.Account, on_verdict: OnVerdict
     ) -> Callable[[], None]:
@@ -203,6 +217,7 @@
                 self._metrics.count_request(reply.result.name.lower())
                 self._socket.send(node, reply)
             case usage.TokenReply():
+                self._owner_answers.record_answer(node, self._boot_clock())
                 self._execute(
                     self._allowance.receive(
                         node=node, reply=message, now=self._boot_clock()
@@ -237,6 +252,7 @@
                 self._decide(waiter_id, verdict)
             case verdicts.Ask(node=node, request=request):
                 if node != self._node:
+                    self._owner_answers.record_request(node, self._boot_clock())
                     self._socket.send(node, request)
                     return
                 self._actions.extend(
--- a/tanagerspoke/transport/peers/zone_feed_service.py
+++ b/tanagerspoke/transport/peers/zone_feed_service.py
@@ -149,6 +149,11 @@
         """Listed nodes of all zones; empty until they are known."""
         return self._nodes
 
+    @property
+    def evacuated_zones(self) -> Mapping[str, int]:
+        """The evacuated zones with the store version of each at this node."""
+        return self._evacuation.store_versions
+
     @property
     def exchanged_bytes(self) -> int:
         """Bytes of the zone feed exchanged with other nodes, with `/state`."""
