Move the log lines of calls out of the edge's metrics

Cause: the lines get more fields, which are no concern of the metrics. Change: call_log.CallLog has the condition, the limit and the line. Moved without change of behaviour.

--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -27,6 +27,7 @@
 from tanagerspoke.transport.callers import key_access
 from tanagerspoke.transport.callers import memory_guard
 from tanagerspoke.transport.operations import admin_server
+from tanagerspoke.transport.operations import call_log
 from tanagerspoke.transport.operations import call_traces
 from tanagerspoke.transport.operations import edge_metrics
 from tanagerspoke.transport.operations import graceful_stop
@@ -104,7 +105,9 @@
         )
         registry = prometheus_client.CollectorRegistry()
         self._metrics = edge_metrics.EdgeMetrics(registry=registry)
-        self._call_traces = call_traces.CallTraces(metrics=self._metrics)
+        self._call_traces = call_traces.CallTraces(
+            metrics=self._metrics, log=call_log.CallLog()
+        )
         self._upstream_client = upstream_client.UpstreamClient(
             dialect=adapter.upstreams, late_replies_watched=0
         )
--- a/tanagerspoke/transport/operations/call_traces.py
+++ b/tanagerspoke/transport/operations/call_traces.py
@@ -4,6 +4,7 @@
 
 from tanagerspoke.protocol import calls
 from tanagerspoke.transport.callers import caller_calls
+from tanagerspoke.transport.operations import call_log
 from tanagerspoke.transport.operations import edge_metrics
 from tanagerspoke.transport.upstreams import upstream_client
 
@@ -14,8 +15,11 @@
 class CallTraces:
     """Records the attempts of an edge's running calls and their results."""
 
-    def __init__(self, *, metrics: edge_metrics.EdgeMetrics) -> None:
+    def __init__(
+        self, *, metrics: edge_metrics.EdgeMetrics, log: call_log.CallLog
+    ) -> None:
         self._metrics = metrics
+        self._log = log
         self._records: dict[int, caller_calls.CallRecord] = {}
 
     def start(self, record: caller_calls.CallRecord) -> None:
@@ -23,9 +27,10 @@
         self._records[record.call_id] = record
 
     def end(self, record: caller_calls.CallRecord) -> None:
-        """Ends the trace and counts the call in the metrics."""
+        """Ends the trace, and counts and logs the call."""
         self._records.pop(record.call_id, None)
         self._metrics.count_call(record)
+        self._log.write(record)
 
     def record_dispatch(self, service: str, action: calls.Dispatch) -> None:
         """Records an attempt that is about to be sent."""
--- a/tanagerspoke/transport/operations/edge_metrics.py
+++ b/tanagerspoke/transport/operations/edge_metrics.py
@@ -1,10 +1,8 @@
-"""Prometheus metrics of the edge, and log lines of finished calls."""
+"""Prometheus metrics of the edge."""
 
 from collections.abc import Callable, Iterator
 import functools
-import logging
 import math
-import random
 import time
 
 import prometheus_client
@@ -15,17 +13,9 @@
 from tanagerspoke.protocol import errors
 from tanagerspoke.transport.callers import caller_calls
 from tanagerspoke.transport.operations import duration_histogram
-from tanagerspoke.transport.operations import log_limit
 from tanagerspoke.transport.operations import usage_metrics
 from tanagerspoke.transport.upstreams import upstream_client
 
-log = logging.getLogger(__name__)
-
-# Share of the calls that are logged although they neither failed nor were late.
-_CALL_LOG_SAMPLE_RATIO = 0.01
-# Limits the lines of failed and late calls under load.
-_CALL_LOG_LINES_PER_S = 20.0
-_CALL_LOG_BURST_LINES = 100
 _DURATION_BOUNDS_S = (
     0.005,
     0.01,
@@ -98,11 +88,6 @@
             bounds_s=_DURATION_BOUNDS_S,
             registry=registry,
         )
-        self._call_log_limit = log_limit.LogLimit(
-            event="call",
-            rate_per_s=_CALL_LOG_LINES_PER_S,
-            burst=_CALL_LOG_BURST_LINES,
-        )
         self._calls = counter(
             "tanagerspoke_edge_calls", "Finished calls", ("route", "code")
         )
@@ -305,14 +290,13 @@
         self._attempt_duration.labels(service, result).observe(duration_s)
 
     def count_call(self, record: caller_calls.CallRecord) -> None:
-        """Counts a finished call; logs failed, late and sampled ones."""
+        """Counts a finished call."""
         duration_s = time.monotonic() - record.started_at
         code = record.code or "ok"
         route = record.route
         route_name = route.name if route is not None else ""
         self._calls.labels(route_name, code).inc()
         self._count_rejection(code, record.rejection)
-        is_late = False
         if route is not None:
             is_late = duration_s > route.target_latency_s
             met_target = code == "ok" and record.status < 400 and not is_late
@@ -323,35 +307,6 @@
             if record.upstream_duration_s is not None and code == "ok":
                 added_s = max(0.0, duration_s - record.upstream_duration_s)
                 self._added_latency.labels(route_name).observe(added_s)
-        # Otherwise a caller without a key could use up the lines of others.
-        is_unknown_caller = (
-            code == errors.ErrorCode.API_KEY_REJECTED
-            and not record.client_account
-        )
-        failed = (
-            code != "ok" or record.status >= 400
-        ) and not is_unknown_caller
-        if not (failed or is_late or random.random() < _CALL_LOG_SAMPLE_RATIO):
-            return
-        if self._call_log_limit.try_acquire(route_name):
-            log.info(
-                "call",
-                extra={
-                    "request_id": record.request_id,
-                    "route": route_name,
-                    "service": record.service,
-                    "code": code,
-                    "status": record.status,
-                    "duration_ms": round(duration_s * 1000, 1),
-                    "late": is_late,
-                    "trail": record.trace,
-                }
-                | (
-                    {"client_account": record.client_account}
-                    if record.client_account
-                    else {}
-                ),
-            )
 
     def _count_rejection(self, code: str, reason: str) -> None:
         """Counts a call that was refused for its key, at its arrival or later.
