Explain refusals from the logs

Cause: `explain` showed the attempts of a call, and nothing about a refusal for the key, the limit, a proof or capacity. Calls with 401 had no line at all, except for one in a hundred. Ruled out: a question to the running edge, which no longer knows the figures at the time of the refusal; lines of 401 within the limit of the others, which a caller without a key could use up. Change: the `call` line of a refused call has `refusal` with the figures behind it. `tanagerspokectl explain` prints one reason, these figures and what to do; it says whether a line is truncated and how many were left out. `RejectionReason` and the metrics' defaults for calls refused at dispatch are now in one function.

--- a/tanagerspoke/commands/tanagerspokectl.py
+++ b/tanagerspoke/commands/tanagerspokectl.py
@@ -6,6 +6,7 @@
 from tanagerspoke.commands import apply
 from tanagerspoke.commands import diff
 from tanagerspoke.commands import drain
+from tanagerspoke.commands import explain
 from tanagerspoke.commands import status
 from tanagerspoke.commands import validate
 from tanagerspoke.commands import where
@@ -17,6 +18,7 @@
 app.command(status.status)
 app.command(drain.drain)
 app.command(where.where)
+app.command(explain.explain)
 
 
 def main() -> None:
--- a/tanagerspoke/coordination/accounts/authentication.py
+++ b/tanagerspoke/coordination/accounts/authentication.py
@@ -25,6 +25,25 @@
     AT_DISPATCH = "at_dispatch"
 
 
+# Reasons of calls that passed at their arrival and were refused at dispatch.
+_REASONS_AT_DISPATCH = {
+    errors.ErrorCode.API_KEY_REJECTED.value: RejectionReason.REMOVED,
+    errors.ErrorCode.CONFIG_UNCONFIRMED.value: RejectionReason.AT_DISPATCH,
+}
+
+
+def rejection_reason(code: str, reason: str) -> str:
+    """Returns why a call was refused for its key, empty if it was not.
+
+    Args:
+        code: code of the ended call.
+        reason: reason of its rejection at its arrival, or empty.
+    """
+    if reason or code not in _REASONS_AT_DISPATCH:
+        return reason
+    return _REASONS_AT_DISPATCH[code].value
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Accepted:
     """The key belongs to this account."""
--- a/tanagerspoke/exceptions.py
+++ b/tanagerspoke/exceptions.py
@@ -25,12 +25,21 @@
     Attributes:
         code: stable error code, see `tanagerspoke.protocol.errors`.
         retry_after_s: seconds after which a retry may succeed, or None.
+        decided_by: node that decided, empty if it is the one that was called.
     """
 
-    def __init__(self, *, code, message: str, retry_after_s=None) -> None:
+    def __init__(
+        self,
+        *,
+        code,
+        message: str,
+        retry_after_s=None,
+        decided_by: str = "",
+    ) -> None:
         super().__init__(message)
         self.code = code
         self.retry_after_s = retry_after_s
+        self.decided_by = decided_by
 
 
 class PlatformError(TanagerspokeError):
--- a/tanagerspoke/transport/callers/caller_calls.py
+++ b/tanagerspoke/transport/callers/caller_calls.py
@@ -68,6 +68,9 @@
         status: HTTP status of the response, 0 while there is none.
         trace: starts and ends of the call's attempts, for the log.
         rejection: why the call was rejected for its key, empty if it was not.
+        retry_after_s: time after which a refused caller may return, None where
+            the refusal states none.
+        decided_by: node that refused the call, empty if it is this one.
     """
 
     call_id: int
@@ -85,6 +88,8 @@
     status: int = 0
     trace: list[dict[str, object]] = dataclasses.field(default_factory=list)
     rejection: str = ""
+    retry_after_s: float | None = None
+    decided_by: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tanagerspoke/transport/callers/caller_server.py
+++ b/tanagerspoke/transport/callers/caller_server.py
@@ -366,6 +366,8 @@
         if isinstance(exc, exceptions.CallRefusedError):
             code = exc.code
             retry_after_s = exc.retry_after_s
+            record.retry_after_s = retry_after_s
+            record.decided_by = exc.decided_by
         elif isinstance(exc, dispatcher.CallFailedError):
             code = exc.code
         else:
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -11,6 +11,7 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.coordination import lifecycle
+from tanagerspoke.coordination.accounts import authentication
 from tanagerspoke.coordination.accounts import recent_calls
 from tanagerspoke.coordination.caller_memory import limits as memory_limits
 from tanagerspoke.protocol import routing
@@ -32,6 +33,7 @@
 from tanagerspoke.transport.operations import edge_metrics
 from tanagerspoke.transport.operations import graceful_stop
 from tanagerspoke.transport.operations import log_limit
+from tanagerspoke.transport.operations import refusal_facts
 from tanagerspoke.transport.operations import status_service
 from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.operations import where_accounts
@@ -106,7 +108,10 @@
         registry = prometheus_client.CollectorRegistry()
         self._metrics = edge_metrics.EdgeMetrics(registry=registry)
         self._call_traces = call_traces.CallTraces(
-            metrics=self._metrics, log=call_log.CallLog()
+            metrics=self._metrics,
+            log=call_log.CallLog(
+                facts=lambda record: self._refusal_facts.describe(record)
+            ),
         )
         self._upstream_client = upstream_client.UpstreamClient(
             dialect=adapter.upstreams, late_replies_watched=0
@@ -135,6 +140,13 @@
             self._metrics.watch_control_bytes(
                 kind="usage", read_total=lambda: self._usage.exchanged_bytes
             )
+        self._refusal_facts = refusal_facts.RefusalFacts(
+            node=cfg.node,
+            keys=self._keys,
+            proofs=self._proofs,
+            usage=self._usage,
+            describe_service=self._dispatchers.describe,
+        )
         self._zone_feed = zone_feed_service.ZoneFeedService(
             cfg=cfg,
             source=adapter.store,
@@ -422,7 +434,9 @@
                 "" if account is None else account.name,
                 recent_calls.result_of(
                     record.code or "ok",
-                    rejection=record.rejection,
+                    rejection=authentication.rejection_reason(
+                        record.code or "ok", record.rejection
+                    ),
                     dispatched=record.dispatched,
                 ),
                 time.monotonic(),
--- a/tanagerspoke/transport/operations/edge_metrics.py
+++ b/tanagerspoke/transport/operations/edge_metrics.py
@@ -313,9 +313,8 @@
 
         A call that passed at its arrival has no reason of its own.
         """
+        reason = authentication.rejection_reason(code, reason)
         if code == errors.ErrorCode.API_KEY_REJECTED:
-            default = authentication.RejectionReason.REMOVED
-            self._rejected_keys.labels(reason or default.value).inc()
+            self._rejected_keys.labels(reason).inc()
         elif code == errors.ErrorCode.CONFIG_UNCONFIRMED:
-            default = authentication.RejectionReason.AT_DISPATCH
-            self._unconfirmed_calls.labels(reason or default.value).inc()
+            self._unconfirmed_calls.labels(reason).inc()
--- a/tanagerspoke/transport/peers/usage_admission.py
+++ b/tanagerspoke/transport/peers/usage_admission.py
@@ -36,12 +36,15 @@
                 except Exception as exc:
                     # The caller gets the error; see `on_failed`.
                     on_failed(exc)
-            case verdicts.OverLimit(retry_after_s=retry_after_s):
+            case verdicts.OverLimit(
+                retry_after_s=retry_after_s, decided_by=decided_by
+            ):
                 on_failed(
                     exceptions.CallRefusedError(
                         code=errors.ErrorCode.RATE_LIMITED,
                         message="the client account is over its usage limit",
                         retry_after_s=retry_after_s,
+                        decided_by=decided_by,
                     )
                 )
             case verdicts.Unconfirmed(retry_after_s=retry_after_s):
--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -4,11 +4,16 @@
 calls are removed.
 """
 
+import json
 import pathlib
 
 import pytest
 
 from tanagerspoke.commands import explain
+from tanagerspoke.commands import refusal_text
+from tanagerspoke.commands import tanagerspokectl
+from tanagerspoke.coordination.accounts import authentication
+from tanagerspoke.protocol import key_digests
 
 _LOGS = pathlib.Path(__file__).parent / "logs"
 
@@ -100,3 +105,96 @@
         explain.explain("unknown", _LOGS / "silent-upstream.txt")
     assert exc_info.value.code == 1
     assert "no line of request unknown" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("lines", "message"),
+    [
+        ((), "no line of request q1"),
+        (
+            ('{"event": "call", "request_id": "q1", "code": "queue_ti',),
+            "a line of the request is truncated",
+        ),
+        (
+            (
+                '_id": "q1", "code": "ok", "trail": []}',
+                '{"event": "log_lines_left_out", "limited_event": "call", '
+                '"left_out": 7}',
+                '{"event": "log_lines_dropped", "dropped": 3}',
+            ),
+            "7 lines of calls were left out by the rate limit",
+        ),
+    ],
+)
+def test_missing_line_is_explained(
+    lines: tuple[str, ...],
+    message: str,
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against tracebacks and silence on truncated logs."""
+    path = tmp_path / "node.log"
+    # The last byte begins a character that the log does not complete.
+    path.write_bytes("\n".join(lines).encode() + b"\xe2")
+    with pytest.raises(SystemExit) as exc_info:
+        explain.explain("q1", path)
+    assert exc_info.value.code == 1
+    captured = capsys.readouterr()
+    assert message in captured.err
+    assert not captured.out
+
+
+@pytest.mark.parametrize(
+    ("refusal", "expected"),
+    [
+        (None, "reason: no node that grants the account's tokens answered"),
+        ("nonsense", "what to do: check the nodes under `owners`"),
+        (
+            {
+                "owners": [
+                    {"node": "n1", "responds": False},
+                    {"node": "n2", "responds": None},
+                    "n3",
+                ],
+                "retry_after_s": None,
+            },
+            "owners n1 (does not respond), n2 (not asked), n3; "
+            "retry_after_s none",
+        ),
+    ],
+)
+def test_line_of_another_version(
+    refusal: object,
+    expected: str,
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against tracebacks on lines without the expected fields."""
+    path = tmp_path / "node.log"
+    line = {
+        "event": "call",
+        "request_id": "\udce2",
+        "code": "usage_unconfirmed",
+        "refusal": refusal,
+        "trail": [{"end": 1}, "nonsense"],
+    }
+    path.write_text(json.dumps(line))
+    with pytest.raises(SystemExit) as exc_info:
+        tanagerspokectl.app(["explain", "\udce2", str(path)])
+    assert not exc_info.value.code
+    assert expected in capsys.readouterr().out
+
+
+def test_each_rejection_has_a_reason_and_advice() -> None:
+    """Guards against a new reason that is not explained to operators."""
+    for reason in (
+        *authentication.RejectionReason,
+        *key_digests.KeyDefect,
+    ):
+        call = {"refusal": {"reason": str(reason), "config_version": 7}}
+        lines = list(refusal_text.describe(call))
+        assert [line.split(":")[0].strip() for line in lines] == [
+            "reason",
+            "figures",
+            "what to do",
+        ]
--- a/tests/transport/test_status.py
+++ b/tests/transport/test_status.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tanagerspoke.commands import edge_requests
 from tanagerspoke.commands import status
 from tanagerspoke.coordination.accounts import recent_calls
 from tanagerspoke.coordination.usage_limits import owner_answers
@@ -182,6 +183,29 @@
     assert message in capsys.readouterr().err
 
 
+async def test_errors_of_answers(
+    capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against tracebacks on answers of another program or of any size.
+
+    The readiness port answers other paths only.
+    """
+    async with edge_stack.run(workers=1) as cluster:
+        await cluster.wait_ready()
+        port = cluster.cfgs[0].readiness.port
+        with pytest.raises(SystemExit) as caught:
+            await asyncio.to_thread(
+                status.status, url=f"http://127.0.0.1:{port}"
+            )
+        assert caught.value.code == 1
+        assert "not an answer of an edge: status 404" in capsys.readouterr().err
+        monkeypatch.setattr(edge_requests, "_MAX_ANSWER_BYTES", 100)
+        with pytest.raises(SystemExit) as caught:
+            await _run(cluster)
+        assert caught.value.code == 1
+        assert "not an answer of an edge: too large" in capsys.readouterr().err
+
+
 async def test_answer_is_bounded(capsys: pytest.CaptureFixture[str]) -> None:
     """Guards against an answer that grows with the configuration."""
     tenants = {f"t{n}": {"api_keys": [f"{n:020}"]} for n in range(300)}
