--- a/tanagerspoke/commands/explain.py
+++ b/tanagerspoke/commands/explain.py
@@ -14,6 +14,11 @@
 # Events that the node logged at most this long before the end of a call may
 # explain its result; upstreams leave, expire and return within this time.
 _MAX_EVENT_AGE_S = 10.0
+# What a missing line means if the logs are complete.
+_NO_NOTES = (
+    "it succeeded and was not sampled, or reached none of the nodes whose logs "
+    "were given"
+)
 # Limits of log lines of calls.
 _LIMITED_EVENTS = frozenset({"call", "rejected_call"})
 _NODE_EVENTS = frozenset(
@@ -75,7 +80,7 @@
         notes.extend(_notes(path.name, lines, events, logged_id))
     if not call_found:
         print(f"no line of request {request_id}", file=sys.stderr)
-        for note in notes:
+        for note in notes or [_NO_NOTES]:
             print(note, file=sys.stderr)
         raise SystemExit(program.EXIT_FAILED)
 
