--- a/tanagerspoke/coordination/usage_limits/allowance.py
+++ b/tanagerspoke/coordination/usage_limits/allowance.py
@@ -213,8 +213,12 @@
             case usage.Result.GRANTED if (
                 self._for_retries and reply.granted < request.waiting
             ):
+                # An owner of an older build, which states no times.
                 return account_demand.refuse_waiting(
-                    reply, now, hold_off=request.node != self._node
+                    reply,
+                    now,
+                    hold_off=request.node != self._node,
+                    decided_by=request.node,
                 )
             case usage.Result.GRANTED:
                 # The calls that wait came after the request was sent.
@@ -225,7 +229,10 @@
             case _:
                 # This node's own answers cost no messages.
                 return account_demand.refuse_waiting(
-                    reply, now, hold_off=request.node != self._node
+                    reply,
+                    now,
+                    hold_off=request.node != self._node,
+                    decided_by=request.node,
                 )
 
     def _start_round(self, account: str, now: float) -> list[verdicts.Action]:
