Use deadlines that differ only where there are client accounts

Change: the detection needs client accounts in the routing table. Without them, decisions are as before.

--- a/tanagerspoke/coordination/caller_waits.py
+++ b/tanagerspoke/coordination/caller_waits.py
@@ -35,12 +35,20 @@
         """Creates an instance without calls."""
         self._routes: dict[str, _RecentDeadlines] = {}
 
-    def waited_s(self, *, route: str, deadline_s: float | None) -> float:
+    def waited_s(
+        self,
+        *,
+        route: str,
+        deadline_s: float | None,
+        deadlines_differ: bool = False,
+    ) -> float:
         """Records a call and returns the time that its caller has waited.
 
         Args:
             route: name of the call's route.
             deadline_s: time that the caller still waits, None if unknown.
+            deadlines_differ: whether those of first requests may differ from
+                caller to caller.
 
         Returns:
             Seconds; 0 where the deadlines of the route do not show it.
@@ -51,7 +59,7 @@
         if recent is None:
             recent = self._routes[route] = _RecentDeadlines()
         recent.add(deadline_s)
-        return recent.waited_s(deadline_s)
+        return recent.waited_s(deadline_s, deadlines_differ)
 
     def keep_only(self, routes: frozenset[str]) -> None:
         """Forgets the calls of all other routes."""
@@ -74,7 +82,7 @@
         self._by_age.append(deadline_s)
         bisect.insort(self._by_length, deadline_s)
 
-    def waited_s(self, deadline_s: float) -> float:
+    def waited_s(self, deadline_s: float, deadlines_differ: bool) -> float:
         """Returns by how much a deadline is shorter than the usual ones."""
         count = len(self._by_length)
         if count < _MIN_SAMPLES:
@@ -87,7 +95,7 @@
         ):
             return longest_s - deadline_s if deadline_s <= same_from_s else 0.0
         usual_from_s = _USUAL_DEADLINE_SHARE * longest_s
-        if deadline_s >= usual_from_s:
+        if not deadlines_differ or deadline_s >= usual_from_s:
             return 0.0
         usual = self._by_length[
             bisect.bisect_left(self._by_length, usual_from_s) :
--- a/tanagerspoke/transport/edge_calls.py
+++ b/tanagerspoke/transport/edge_calls.py
@@ -91,7 +91,9 @@
             deadline_s=request.deadline_s,
             account=account,
             waited_s=self._caller_waits.waited_s(
-                route=route.name, deadline_s=request.deadline_s
+                route=route.name,
+                deadline_s=request.deadline_s,
+                deadlines_differ=self._keys.has_accounts,
             ),
             key_digest=None if account is None else request.key_digest,
         )
