Order queued calls by what their accounts received

Cause: an account that sends many times its usual rate takes capacity from the other accounts until it reaches its limit. Change: while a service has no room, calls of equal lateness and priorities are ordered by the calls that their account received lately relative to its usual rate.

--- /dev/null
+++ b/tanagerspoke/coordination/fair_shares/__init__.py
@@ -0,0 +1,1 @@
+"""Fair shares of short capacity between client accounts."""
--- a/tanagerspoke/coordination/placements/upstream_choice.py
+++ b/tanagerspoke/coordination/placements/upstream_choice.py
@@ -197,6 +197,18 @@
                 break
         return merged
 
+    def has_room(self, queued_calls: int) -> bool:
+        """Returns whether late calls take no slot that others need.
+
+        Args:
+            queued_calls: calls that wait at this node.
+        """
+        own_slots = self._view.total_slots / self._nodes()
+        return (
+            self._view.mean_utilization < _MAX_MEAN_UTILIZATION
+            and queued_calls <= max(1.0, own_slots)
+        )
+
     def wait_ends_at(
         self,
         queued_call: target_queue.QueuedCall,
@@ -216,7 +228,7 @@
         return self._wait_ends_at(
             queued_call,
             queued_at=queued_at,
-            has_room=self._has_room(queued_calls),
+            has_room=self.has_room(queued_calls),
             now=now,
         )
 
@@ -262,7 +274,7 @@
             if self._cold.may_use(queued_at=cold_wait_from, now=now):
                 yield Options(cold_only=True)
             return
-        has_room = self._has_room(queued_calls)
+        has_room = self.has_room(queued_calls)
         max_utilization = (
             MAX_UNSATURATED_UTILIZATION
             if has_room
@@ -287,14 +299,6 @@
         if self._cold.may_use(queued_at=cold_wait_from, now=now):
             yield Options(cold_only=True, max_utilization=max_utilization)
 
-    def _has_room(self, queued_calls: int) -> bool:
-        """Returns whether late calls take no slot that others need."""
-        own_slots = self._view.total_slots / self._nodes()
-        return (
-            self._view.mean_utilization < _MAX_MEAN_UTILIZATION
-            and queued_calls <= max(1.0, own_slots)
-        )
-
     def _choose(
         self, state: call_attempts.CallState, options: Options, now: float
     ) -> loads.UpstreamLoad | None:
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -13,6 +13,7 @@
 from tanagerspoke.coordination import subsetting
 from tanagerspoke.coordination import target_queue
 from tanagerspoke.coordination.cold_upstreams import cold_choice
+from tanagerspoke.coordination.fair_shares import service_shares
 from tanagerspoke.coordination.placements import candidates
 from tanagerspoke.coordination.placements import upstream_choice
 from tanagerspoke.coordination.second_attempts import decisions
@@ -69,6 +70,7 @@
         gate: dispatch_gate.CombinedGate | None = None,
         hedge_share: float | None = None,
         limits_cold: Callable[[], bool] = lambda: False,
+        shares: service_shares.ServiceShares | None = None,
     ) -> None:
         """Creates a scheduler without upstreams.
 
@@ -86,6 +88,8 @@
                 where only the budget limits them.
             limits_cold: returns whether the calls of cold upstreams are
                 limited; otherwise they are used like others.
+            shares: what the client accounts received of the service; None
+                without accounts.
         """
         self._gate = gate or dispatch_gate.CombinedGate(parts=())
         self._node = node
@@ -106,7 +110,9 @@
             rng=rng,
         )
         self._statistics = route_statistics.RouteStatistics(view=self._view)
-        self._queue = target_queue.TargetQueue()
+        self._queue = target_queue.TargetQueue(
+            shares=shares, has_room=lambda count: self._choice.has_room(count)
+        )
         self._refusals = refusals.Refusals(
             view=self._view, statistics=self._statistics, rng=rng
         )
@@ -393,8 +399,10 @@
             host_slowness=probe_rounds.fresh_host_slowness(record, now),
             cold=self._cold.is_cold(record, now),
         )
-        if self._second_attempts is not None and attempt == 1:
-            self._second_attempts.record_dispatch(state=state, now=now)
+        if attempt == 1:
+            self._queue.record_sent(call, now)
+            if self._second_attempts is not None:
+                self._second_attempts.record_dispatch(state=state, now=now)
         upstream_id = record.upstream.upstream_id
         self._gate.record_dispatch(record.upstream, now)
         state.tried += (upstream_id,)
--- /dev/null
+++ b/tests/coordination/fair_shares/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fair shares between client accounts."""
