Share the capacity of edges fairly between accounts

Cause: the order by accounts' shares needs their limits, demand and the number of nodes, which only the edge service knows. Change: the edge passes them on, and has metrics by account: finished calls by whether they met their target, usual rate, rate of sent calls. Ruled out: series in the existing usage metrics, which only cover accounts with a limit.

--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -19,6 +19,8 @@
 from tanagerspoke.coordination import route_scheduling
 from tanagerspoke.coordination.caller_memory import limits as memory_limits
 from tanagerspoke.coordination.cold_upstreams import cold_gate
+from tanagerspoke.coordination.fair_shares import account_rates
+from tanagerspoke.coordination.fair_shares import service_shares
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import routing
@@ -133,6 +135,8 @@
         self._dispatchers: dict[str, dispatcher.ServiceDispatcher] = {}
         registry = prometheus_client.CollectorRegistry()
         self._metrics = edge_metrics.EdgeMetrics(registry=registry)
+        self._account_rates = account_rates.AccountRates()
+        self._metrics.accounts.watch_rates(self._account_rates)
         self._call_traces = call_traces.CallTraces(metrics=self._metrics)
         self._upstream_client = upstream_client.UpstreamClient(
             dialect=adapter.upstreams, late_replies_watched=0
@@ -346,6 +350,8 @@
             frozenset(route.name for route in table.routes)
         )
         self._keys.apply(table)
+        self._account_rates.apply(table.accounts, time.monotonic())
+        self._metrics.accounts.set_accounts(table.accounts or ())
         self._freshness_queries.notify_accounts()
         if self._usage is not None:
             self._usage.set_accounts(table.accounts)
@@ -457,6 +463,7 @@
             return
         log.info("nodes_changed", extra={"nodes": nodes})
         self._node_count = nodes
+        self._account_rates.set_nodes(nodes or 1)
         for budget in self._retry_budgets.values():
             budget.set_nodes(nodes)
         for service_dispatcher in self._dispatchers.values():
@@ -470,7 +477,9 @@
             return existing
         budget = self._new_retry_budget()
         self._retry_budgets[service] = budget
-        scheduler = self._new_scheduler(service, budget, self._rng)
+        shares = service_shares.ServiceShares(rates=self._account_rates)
+        self._metrics.accounts.watch_service(shares)
+        scheduler = self._new_scheduler(service, budget, self._rng, shares)
         self._schedulers[service] = scheduler
         created = dispatcher.ServiceDispatcher(
             scheduler=scheduler,
@@ -504,6 +513,7 @@
         service: str,
         budget: retry_budget.RetryBudget,
         rng: random.Random,
+        shares: service_shares.ServiceShares,
     ) -> route_scheduling.RouteScheduler:
         scheduler = route_scheduling.RouteScheduler(
             availability_zone=self._cfg.availability_zone,
@@ -528,6 +538,7 @@
             ),
             hedge_share=self._cfg.hedge_share,
             limits_cold=lambda: self._cold_calls_per_s(service) > 0.0,
+            shares=shares,
         )
         return scheduler
 
@@ -539,7 +550,10 @@
         if existing is not None:
             return existing
         scheduler = self._new_scheduler(
-            service, self._new_retry_budget(), random.Random()
+            service,
+            self._new_retry_budget(),
+            random.Random(),
+            service_shares.ServiceShares(rates=self._account_rates),
         )
         listed = self._upstreams.get(service, ())
         for event in (
@@ -639,6 +653,10 @@
         route = self._find_route(request.host, request.path)
         # The configuration may have changed while the body was read.
         account = self._keys.authenticate(request, route)
+        if self._account_rates.is_active:
+            self._account_rates.record_call(
+                record.client_account, record.started_at
+            )
         record.route = route
         record.service = self._routes.choose_service(route)
         call = self._new_call(
--- a/tanagerspoke/transport/operations/edge_metrics.py
+++ b/tanagerspoke/transport/operations/edge_metrics.py
@@ -14,6 +14,7 @@
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.transport.callers import caller_calls
+from tanagerspoke.transport.operations import account_metrics
 from tanagerspoke.transport.operations import duration_histogram
 from tanagerspoke.transport.operations import log_limit
 from tanagerspoke.transport.operations import usage_metrics
@@ -187,6 +188,8 @@
             ("service",),
         )
         self.usage = usage_metrics.UsageMetrics(registry=registry)
+        self.accounts = account_metrics.AccountMetrics()
+        registry.register(self.accounts)
         self.unreadable_rows = counter(
             "tanagerspoke_edge_unreadable_rows",
             "Rows of the store that held no valid entry when they were read",
@@ -312,7 +315,7 @@
         route_name = route.name if route is not None else ""
         self._calls.labels(route_name, code).inc()
         self._count_rejection(code, record.rejection)
-        is_late = False
+        is_late = met_target = False
         if route is not None:
             is_late = duration_s > route.target_latency_s
             met_target = code == "ok" and record.status < 400 and not is_late
@@ -323,6 +326,10 @@
             if record.upstream_duration_s is not None and code == "ok":
                 added_s = max(0.0, duration_s - record.upstream_duration_s)
                 self._added_latency.labels(route_name).observe(added_s)
+        if record.client_account:
+            self.accounts.count_call(
+                record.client_account, met_target=met_target
+            )
         # Otherwise a caller without a key could use up the lines of others.
         is_unknown_caller = (
             code == errors.ErrorCode.API_KEY_REJECTED
