Build route schedulers of tests and benchmarks in one place

Cause: six test files and bench/second_attempts.py built the same scheduler, budget and probes. Ruled out: a builder in bench/simulation.py, which knows no scheduler.

--- a/bench/second_attempts.py
+++ b/bench/second_attempts.py
@@ -12,11 +12,10 @@
 import sys
 
 from bench import simulation
-from tanagerspoke.coordination import probe_rounds
-from tanagerspoke.coordination import retry_budget
 from tanagerspoke.coordination import route_scheduling
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import upstreams
+from tests.coordination import helpers
 
 _SLOTS = 3
 _ZONES = "abc"
@@ -154,17 +153,7 @@
     """Runs a load with a setting of `hedge_share`."""
     rng = random.Random(seed)
     clock = simulation.Clock()
-    listed = tuple(
-        upstreams.Upstream(
-            upstream_id=f"u{number}",
-            service="s",
-            address="127.0.0.1",
-            port=1,
-            availability_zone=_ZONES[number % 3],
-            slots=_SLOTS,
-        )
-        for number in range(load.upstreams)
-    )
+    listed = helpers.make_upstreams(load.upstreams, slots=_SLOTS)
     fakes = {
         u.upstream_id: simulation.FakeUpstream(
             clock=clock, upstream=u, load_report_age_s=0.0
@@ -243,22 +232,12 @@
             )
             return actions
 
-    zone = _ZONES[number % 3]
-    return Observed(
-        availability_zone=zone,
-        cross_zone_penalty_s=0.03,
-        budget=retry_budget.RetryBudget(
-            ratio=0.2,
-            shared_extra=40.0,
-            window_s=10.0,
-            shared_extra_from=0.0,
-            nodes=load.nodes,
-        ),
-        probes=probe_rounds.ProbeRounds(
-            availability_zone=zone, rate_per_upstream_s=30.0
-        ),
-        rng=random.Random(seed * 100 + number),
+    return helpers.make_route_scheduler(
+        scheduler_type=Observed,
+        zone=_ZONES[number % 3],
+        budget_extra=40.0,
         nodes=load.nodes,
+        seed=seed * 100 + number,
         hedge_share=share,
     )
 
--- a/tests/coordination/helpers.py
+++ b/tests/coordination/helpers.py
@@ -1,7 +1,10 @@
-"""Builders of schedulers, calls and events, shared by the tests."""
+"""Builders of schedulers, calls and events, for tests and benchmarks."""
 
 import random
 
+from tanagerspoke.coordination import probe_rounds
+from tanagerspoke.coordination import retry_budget
+from tanagerspoke.coordination import route_scheduling
 from tanagerspoke.coordination import scheduling
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import upstreams
@@ -41,6 +44,54 @@
     return scheduler
 
 
+def make_route_scheduler(
+    *,
+    zone: str = "a",
+    cross_zone_penalty_s: float = 0.03,
+    budget_ratio: float = 0.2,
+    budget_extra: float = 100.0,
+    budget_window_s: float = 10.0,
+    probe_rate_s: float = 30.0,
+    seed: int = 1,
+    nodes: int = 1,
+    scheduler_type: type[
+        route_scheduling.RouteScheduler
+    ] = route_scheduling.RouteScheduler,
+    **options: object,
+) -> route_scheduling.RouteScheduler:
+    """Returns a scheduler without upstreams.
+
+    Args:
+        zone: availability zone of its node.
+        cross_zone_penalty_s: see `RouteScheduler`.
+        budget_ratio: extra attempts per call.
+        budget_extra: extra attempts of all nodes in any window.
+        budget_window_s: the window.
+        probe_rate_s: probes per second and upstream.
+        seed: seed of its random number generator.
+        nodes: nodes that share the upstreams.
+        scheduler_type: class of the scheduler.
+        **options: further arguments of the scheduler.
+    """
+    return scheduler_type(
+        availability_zone=zone,
+        cross_zone_penalty_s=cross_zone_penalty_s,
+        budget=retry_budget.RetryBudget(
+            ratio=budget_ratio,
+            shared_extra=budget_extra,
+            window_s=budget_window_s,
+            shared_extra_from=0.0,
+            nodes=nodes,
+        ),
+        probes=probe_rounds.ProbeRounds(
+            availability_zone=zone, rate_per_upstream_s=probe_rate_s
+        ),
+        rng=random.Random(seed),
+        nodes=nodes,
+        **options,
+    )
+
+
 def make_call(
     call_id: int,
     call_class: calls.CallClass = LOOKUP,
--- a/tests/coordination/test_dispatch_gate.py
+++ b/tests/coordination/test_dispatch_gate.py
@@ -1,13 +1,10 @@
 """Tests that every attempt passes the gate immediately before it is sent."""
 
 import dataclasses
-import random
 
 import pytest
 
 from tanagerspoke.coordination import dispatch_gate
-from tanagerspoke.coordination import probe_rounds
-from tanagerspoke.coordination import retry_budget
 from tanagerspoke.coordination import route_scheduling
 from tanagerspoke.coordination.accounts import freshness
 from tanagerspoke.coordination.accounts import key_gate
@@ -47,21 +44,8 @@
 def _scheduler(
     gate: dispatch_gate.DispatchGate,
 ) -> route_scheduling.RouteScheduler:
-    scheduler = route_scheduling.RouteScheduler(
-        availability_zone="a",
-        cross_zone_penalty_s=0.03,
-        budget=retry_budget.RetryBudget(
-            ratio=0.2,
-            shared_extra=100.0,
-            window_s=10.0,
-            shared_extra_from=0.0,
-            nodes=1,
-        ),
-        probes=probe_rounds.ProbeRounds(
-            availability_zone="a", rate_per_upstream_s=30.0
-        ),
-        rng=random.Random(1),
-        gate=dispatch_gate.CombinedGate(parts=(gate,)),
+    scheduler = helpers.make_route_scheduler(
+        gate=dispatch_gate.CombinedGate(parts=(gate,))
     )
     scheduler.handle(
         event=calls.UpstreamsChanged(upstreams=helpers.make_upstreams(2)),
--- a/tests/coordination/test_placements.py
+++ b/tests/coordination/test_placements.py
@@ -1,14 +1,11 @@
 """Tests of the explanation of where a call would go."""
 
 import dataclasses
-import random
 
 import pytest
 
 from bench import second_attempts as model
 from tanagerspoke.coordination import dispatch_gate
-from tanagerspoke.coordination import probe_rounds
-from tanagerspoke.coordination import retry_budget
 from tanagerspoke.coordination import route_scheduling
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
@@ -189,16 +186,9 @@
     listed = list(helpers.make_upstreams(8))
     listed[1] = dataclasses.replace(listed[1], leaving=True)
     gate = _RefusingGate()
-    scheduler = route_scheduling.RouteScheduler(
-        availability_zone="a",
-        cross_zone_penalty_s=0.03,
-        budget=retry_budget.RetryBudget(
-            ratio=0.2, shared_extra=0.0, window_s=10.0, shared_extra_from=0.0
-        ),
-        probes=probe_rounds.ProbeRounds(
-            availability_zone="a", rate_per_upstream_s=60.0
-        ),
-        rng=random.Random(1),
+    scheduler = helpers.make_route_scheduler(
+        budget_extra=0.0,
+        probe_rate_s=60.0,
         gate=dispatch_gate.CombinedGate(parts=(gate,)),
     )
     slow = dataclasses.replace(_IDLE, host_slowness=4.0)
--- a/tests/coordination/test_route_differential.py
+++ b/tests/coordination/test_route_differential.py
@@ -10,8 +10,6 @@
 
 from bench import naive
 from bench import simulation
-from tanagerspoke.coordination import probe_rounds
-from tanagerspoke.coordination import retry_budget
 from tanagerspoke.coordination import route_scheduling
 from tanagerspoke.protocol import calls
 from tests.coordination import helpers
@@ -66,21 +64,11 @@
 
 
 def _edge_scheduler(number: int) -> route_scheduling.RouteScheduler:
-    return route_scheduling.RouteScheduler(
-        availability_zone="abc"[number % 3],
-        cross_zone_penalty_s=0.03,
-        budget=retry_budget.RetryBudget(
-            ratio=0.2,
-            shared_extra=20.0,
-            window_s=10.0,
-            shared_extra_from=0.0,
-            nodes=_NODE_COUNT,
-        ),
-        probes=probe_rounds.ProbeRounds(
-            availability_zone="abc"[number % 3], rate_per_upstream_s=30.0
-        ),
-        rng=random.Random(number),
+    return helpers.make_route_scheduler(
+        zone="abc"[number % 3],
+        budget_extra=20.0,
         nodes=_NODE_COUNT,
+        seed=number,
     )
 
 
--- a/tests/coordination/test_route_scheduling.py
+++ b/tests/coordination/test_route_scheduling.py
@@ -1,14 +1,11 @@
 """Tests of the scheduler by route, latency target and deadline."""
 
 import dataclasses
-import random
 
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from tanagerspoke.coordination import probe_rounds
-from tanagerspoke.coordination import retry_budget
 from tanagerspoke.coordination import route_scheduling
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
@@ -23,20 +20,8 @@
 def _scheduler(
     count: int = 3, *, shared_extra: float = 100.0, seed: int = 1
 ) -> route_scheduling.RouteScheduler:
-    scheduler = route_scheduling.RouteScheduler(
-        availability_zone="a",
-        cross_zone_penalty_s=0.03,
-        budget=retry_budget.RetryBudget(
-            ratio=0.2,
-            shared_extra=shared_extra,
-            window_s=10.0,
-            shared_extra_from=0.0,
-            nodes=1,
-        ),
-        probes=probe_rounds.ProbeRounds(
-            availability_zone="a", rate_per_upstream_s=30.0
-        ),
-        rng=random.Random(seed),
+    scheduler = helpers.make_route_scheduler(
+        budget_extra=shared_extra, seed=seed
     )
     scheduler.handle(
         event=calls.UpstreamsChanged(upstreams=helpers.make_upstreams(count)),
--- a/tests/coordination/test_second_attempts.py
+++ b/tests/coordination/test_second_attempts.py
@@ -1,16 +1,12 @@
 """Tests of second attempts within the share that the operators set."""
 
 import dataclasses
-import random
 
 import hypothesis
 from hypothesis import strategies as st
 import pytest
 
 from bench import second_attempts as model
-from tanagerspoke.coordination import probe_rounds
-from tanagerspoke.coordination import retry_budget
-from tanagerspoke.coordination import route_scheduling
 from tanagerspoke.coordination.second_attempts import allowance
 from tanagerspoke.coordination.second_attempts import timing
 from tanagerspoke.protocol import calls
@@ -189,20 +185,11 @@
         self.loads = loads
         self.dispatches: list[calls.Dispatch] = []
         self.cancelled: list[calls.CancelAttempt] = []
-        self.scheduler = route_scheduling.RouteScheduler(
-            availability_zone="a",
+        self.scheduler = helpers.make_route_scheduler(
             cross_zone_penalty_s=0.0,
-            budget=retry_budget.RetryBudget(
-                ratio=1.0,
-                shared_extra=100.0,
-                window_s=100.0,
-                shared_extra_from=0.0,
-                nodes=1,
-            ),
-            probes=probe_rounds.ProbeRounds(
-                availability_zone="a", rate_per_upstream_s=60.0
-            ),
-            rng=random.Random(1),
+            budget_ratio=1.0,
+            budget_window_s=100.0,
+            probe_rate_s=60.0,
             hedge_share=1.0,
         )
         listed = helpers.make_upstreams(count)
--- a/tests/coordination/test_upstream_pushback.py
+++ b/tests/coordination/test_upstream_pushback.py
@@ -4,15 +4,10 @@
 that ask for a pause without need.
 """
 
-import random
-
 import hypothesis
 from hypothesis import strategies as st
 import pytest
 
-from tanagerspoke.coordination import probe_rounds
-from tanagerspoke.coordination import retry_budget
-from tanagerspoke.coordination import route_scheduling
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import upstreams
@@ -35,20 +30,11 @@
         self.sent: list[tuple[float, str]] = []
         self.refused: list[calls.Refuse] = []
         self.dispatched: list[calls.Dispatch] = []
-        self.scheduler = route_scheduling.RouteScheduler(
-            availability_zone="a",
+        self.scheduler = helpers.make_route_scheduler(
             cross_zone_penalty_s=0.0,
-            budget=retry_budget.RetryBudget(
-                ratio=1.0,
-                shared_extra=1000.0,
-                window_s=10.0,
-                shared_extra_from=0.0,
-                nodes=1,
-            ),
-            probes=probe_rounds.ProbeRounds(
-                availability_zone="a", rate_per_upstream_s=60.0
-            ),
-            rng=random.Random(1),
+            budget_ratio=1.0,
+            budget_extra=1000.0,
+            probe_rate_s=60.0,
         )
         listed = helpers.make_upstreams(count)
         self._upstreams = {u.upstream_id: u for u in listed}
