--- a/tests/coordination/fair_shares/test_queue_order.py
+++ b/tests/coordination/fair_shares/test_queue_order.py
@@ -53,10 +53,10 @@
     return rates
 
 
-def _key_without_accounts(queued: target_queue.QueuedCall) -> tuple:
+def former_key(queued: target_queue.QueuedCall, now: float = _NOW) -> tuple:
     """Returns the sort key that was in force before fair shares."""
     call = queued.call
-    late = queued.latest_start_at < _NOW
+    late = queued.latest_start_at < now
     arrival_key = call.arrived_at if late else -call.arrived_at
     return (late, call.account_priority, call.priority, arrival_key)
 
@@ -86,12 +86,12 @@
     for each in queued:
         queue.push(each)
         queue.record_sent(each.call, 1.0)
-    expected = sorted(queued, key=_key_without_accounts)
+    expected = sorted(queued, key=former_key)
     assert queue.order(_NOW) == expected
     for each in queued:
-        key = _key_without_accounts(each)
+        key = former_key(each)
         assert queue.calls_ahead(each, _NOW) == sum(
-            _key_without_accounts(other) < key for other in queued
+            former_key(other) < key for other in queued
         )
 
 
@@ -115,12 +115,12 @@
     for account in sent:
         queue.record_sent(_queued_call(0, account=account).call, 4.0)
     order = queue.order(_NOW)
-    groups = [_key_without_accounts(each)[:3] for each in order]
+    groups = [former_key(each)[:3] for each in order]
     assert groups == sorted(groups)
     assert sorted(e.call.call_id for e in order) == list(range(len(queued)))
     for account in ("", "a", "b", "c"):
         own = [e for e in order if e.call.client_account == account]
-        assert own == sorted(own, key=_key_without_accounts)
+        assert own == sorted(own, key=former_key)
     assert [queue.calls_ahead(each, _NOW) for each in order] == list(
         range(len(order))
     )
