State why no decision uses the cold start time of a service

Cause: Service.cold_start_s is decoded and validated, but never read. Ruled out: deriving the end from the upstream's start time, which is on another host's clock; removing the field, which would no longer report an invalid value in the manifest.

--- a/tanagerspoke/protocol/routing.py
+++ b/tanagerspoke/protocol/routing.py
@@ -92,7 +92,10 @@
 
     Attributes:
         health_path: path on which its upstreams respond to probes.
-        cold_start_s: time for which an upstream is cold after its start.
+        cold_start_s: time for which an upstream is cold after its start, as
+            the configuration states it. No decision uses it: entries and health
+            responses of upstreams state when their cold period ends, which a
+            node could only guess from this time and the upstream's start.
         cold_calls_per_s: calls per second that a cold upstream tolerates from
             all nodes together; 0 where there is no limit.
     """
