--- a/tests/coordination/fair_shares/test_queue_order.py
+++ b/tests/coordination/fair_shares/test_queue_order.py
@@ -7,11 +7,13 @@
 from hypothesis import strategies as st
 import pytest
 
+from tanagerspoke.coordination import route_scheduling
 from tanagerspoke.coordination import target_queue
 from tanagerspoke.coordination.fair_shares import account_rates
 from tanagerspoke.coordination.fair_shares import service_shares
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import routing
+from tests.coordination import helpers
 
 _NOW = 5.0
 
@@ -139,6 +141,33 @@
     assert len(queue) == 6
 
 
+def test_retry_is_not_counted() -> None:
+    """Guards against accounts that lose their place to failing upstreams."""
+    shares = service_shares.ServiceShares(rates=_rates(a=2.0))
+    scheduler = helpers.make_route_scheduler(shares=shares)
+    scheduler.handle(
+        event=calls.UpstreamsChanged(upstreams=helpers.make_upstreams(2)),
+        now=0.0,
+    )
+    call = helpers.make_call(1, account="a", deadline_s=9.0)
+    first = _next_dispatch(scheduler, helpers.arrive(scheduler, call, 0.0))
+    ended = helpers.end(scheduler, first, 0.2, calls.NotSent())
+    assert _next_dispatch(scheduler, ended).attempt == 2
+    assert 0.9 < shares.received("a", 0.2) <= 1.0
+
+
+def _next_dispatch(
+    scheduler: route_scheduling.RouteScheduler,
+    actions: list[calls.SchedulerAction],
+) -> calls.Dispatch:
+    while True:
+        for action in actions:
+            if isinstance(action, calls.Dispatch):
+                return action
+        now = scheduler.next_wakeup
+        actions = scheduler.handle(event=calls.Tick(), now=now)
+
+
 def test_first_slots_are_divided_between_accounts() -> None:
     """Guards against one account that gets all of several free slots.
 
