--- a/tanagerspoke/transport/edge_calls.py
+++ b/tanagerspoke/transport/edge_calls.py
@@ -6,6 +6,7 @@
 from tanagerspoke import exceptions
 from tanagerspoke.coordination import caller_waits
 from tanagerspoke.coordination import lifecycle
+from tanagerspoke.coordination.fair_shares import account_rates
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import errors
 from tanagerspoke.protocol import routing
@@ -41,6 +42,7 @@
         usage: usage_service.UsageService | None,
         dispatchers: edge_dispatchers.EdgeDispatchers,
         stop: graceful_stop.GracefulStop,
+        rates: account_rates.AccountRates,
     ) -> None:
         """Creates an instance.
 
@@ -51,6 +53,7 @@
             usage: tokens of this node; None where usage is not limited.
             dispatchers: dispatchers of the services.
             stop: the stop of this node, which waits for running calls.
+            rates: usual rates of the client accounts.
         """
         self._cfg = cfg
         self._routes = routing
@@ -58,6 +61,7 @@
         self._usage = usage
         self._dispatchers = dispatchers
         self._graceful_stop = stop
+        self._account_rates = rates
         self._caller_waits = caller_waits.CallerWaits()
 
     def set_options(self, cfg: edge.Edge) -> None:
@@ -82,6 +86,10 @@
         route = self.find_route(request.host, request.path)
         # The configuration may have changed while the body was read.
         account = self._keys.authenticate(request, route)
+        if self._account_rates.is_active:
+            self._account_rates.record_call(
+                record.client_account, record.started_at
+            )
         record.route = route
         record.service = self._routes.choose_service(route)
         call = self.new_call(
--- a/tanagerspoke/transport/edge_dispatchers.py
+++ b/tanagerspoke/transport/edge_dispatchers.py
@@ -12,6 +12,8 @@
 from tanagerspoke.coordination import route_scheduling
 from tanagerspoke.coordination import service_status
 from tanagerspoke.coordination.cold_upstreams import cold_gate
+from tanagerspoke.coordination.fair_shares import account_rates
+from tanagerspoke.coordination.fair_shares import service_shares
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import edge_status
 from tanagerspoke.protocol import upstreams
@@ -49,6 +51,7 @@
         metrics: edge_metrics.EdgeMetrics,
         traces: call_traces.CallTraces,
         rng: random.Random,
+        rates: account_rates.AccountRates,
         on_leaving: Callable[[upstreams.Upstream], None],
     ) -> None:
         """Creates an instance without upstreams.
@@ -61,6 +64,7 @@
             metrics: metrics of this node.
             traces: traces of the running calls.
             rng: random number generator.
+            rates: usual rates of the client accounts.
             on_leaving: called with an upstream that stated in a response that
                 it is leaving.
         """
@@ -71,6 +75,7 @@
         self._metrics = metrics
         self._call_traces = traces
         self._rng = rng
+        self._account_rates = rates
         self._on_leaving = on_leaving
         self._started_at = time.monotonic()
         self._upstreams: dict[str, tuple[upstreams.Upstream, ...]] = {}
@@ -140,6 +145,7 @@
             return
         log.info("nodes_changed", extra={"nodes": nodes})
         self._node_count = nodes
+        self._account_rates.set_nodes(nodes or 1)
         for budget in self._retry_budgets.values():
             budget.set_nodes(nodes)
         for service_dispatcher in self._dispatchers.values():
@@ -152,7 +158,9 @@
             return existing
         budget = self._new_retry_budget()
         self._retry_budgets[service] = budget
-        scheduler = self._new_scheduler(service, budget, self._rng)
+        shares = service_shares.ServiceShares(rates=self._account_rates)
+        self._metrics.accounts.watch_service(shares)
+        scheduler = self._new_scheduler(service, budget, self._rng, shares)
         self._schedulers[service] = scheduler
         created = dispatcher.ServiceDispatcher(
             scheduler=scheduler,
@@ -189,7 +197,10 @@
         if existing is not None:
             return existing
         scheduler = self._new_scheduler(
-            service, self._new_retry_budget(), random.Random()
+            service,
+            self._new_retry_budget(),
+            random.Random(),
+            service_shares.ServiceShares(rates=self._account_rates),
         )
         listed = self._upstreams.get(service, ())
         for event in (
@@ -223,6 +234,7 @@
         service: str,
         budget: retry_budget.RetryBudget,
         rng: random.Random,
+        shares: service_shares.ServiceShares,
     ) -> route_scheduling.RouteScheduler:
         scheduler = route_scheduling.RouteScheduler(
             availability_zone=self._cfg.availability_zone,
@@ -247,6 +259,7 @@
             ),
             hedge_share=self._cfg.hedge_share,
             limits_cold=lambda: self._cold_calls_per_s(service) > 0.0,
+            shares=shares,
         )
         return scheduler
 
--- a/tanagerspoke/transport/edge_service.py
+++ b/tanagerspoke/transport/edge_service.py
@@ -14,6 +14,7 @@
 from tanagerspoke.coordination.accounts import authentication
 from tanagerspoke.coordination.accounts import recent_calls
 from tanagerspoke.coordination.caller_memory import limits as memory_limits
+from tanagerspoke.coordination.fair_shares import account_rates
 from tanagerspoke.protocol import routing
 from tanagerspoke.protocol import upstreams
 from tanagerspoke.protocol import zone_feed
@@ -107,6 +108,8 @@
         )
         registry = prometheus_client.CollectorRegistry()
         self._metrics = edge_metrics.EdgeMetrics(registry=registry)
+        self._account_rates = account_rates.AccountRates()
+        self._metrics.accounts.watch_rates(self._account_rates)
         self._call_traces = call_traces.CallTraces(
             metrics=self._metrics,
             log=call_log.CallLog(
@@ -130,6 +133,7 @@
             metrics=self._metrics,
             traces=self._call_traces,
             rng=self._rng,
+            rates=self._account_rates,
             on_leaving=self._mark_leaving,
         )
         self._usage: usage_service.UsageService | None = None
@@ -196,6 +200,7 @@
             usage=self._usage,
             dispatchers=self._dispatchers,
             stop=self._graceful_stop,
+            rates=self._account_rates,
         )
         self._server = caller_server.CallerServer(
             listen=cfg.callers,
@@ -356,6 +361,8 @@
             return
         self._calls.keep_routes(frozenset(route.name for route in table.routes))
         self._keys.apply(table)
+        self._account_rates.apply(table.accounts, time.monotonic())
+        self._metrics.accounts.set_accounts(table.accounts or ())
         self._freshness_queries.notify_accounts()
         if self._usage is not None:
             self._usage.set_accounts(table.accounts)
