Bound the answers of the store

Cause: answers of the store were held as a whole, whatever their size, and a read went on for as long as the store announced further pages. The client of gateways and agents also let a RecursionError through for a document that is nested 100,000 deep.

Ruled out: counting rows after decoding, since the decoder allocates all of them first; treating a rejected answer as an unreachable store, since then one large row of one table would stop the reads of all others.

Beyond a bound, the read fails with AnswerRejectedError, is counted as `rejected`, logged within a limit and repeated after 0.8 s; what was read before stays in force.

--- a/tanagerspoke/exceptions.py
+++ b/tanagerspoke/exceptions.py
@@ -41,6 +41,10 @@
     """The platform gave no valid reply; a write may have taken effect."""
 
 
+class AnswerRejectedError(PlatformUnavailableError):
+    """An answer of the platform exceeds a bound; nothing of it is used."""
+
+
 class HistoryLostError(PlatformError):
     """The platform no longer has the changes since the requested position."""
 
--- a/tanagerspoke/platform/store.py
+++ b/tanagerspoke/platform/store.py
@@ -15,6 +15,7 @@
 from tanagerspoke.protocol import routing
 from tanagerspoke.protocol import zone_feed
 from tanagerspoke.settings import options
+from tanagerspoke.transport.store import answer_limits
 from tanagerspoke.transport.store import store_source
 
 _NODES_TABLE = "edge_nodes"
@@ -27,6 +28,33 @@
 _rows_decoder = msgspec.json.Decoder(wire.RowsReply)
 
 
+class _ReadSize:
+    """Bounds the rows and bytes that one read holds, in all of its replies."""
+
+    def __init__(self, *, path: str) -> None:
+        self._path = path
+        self._rows = 0
+        self._bytes = 0
+
+    def add(self, reply: wire.RowsReply) -> None:
+        """Counts a reply.
+
+        Raises:
+            AnswerRejectedError: the replies exceed a bound.
+        """
+        self._rows += len(reply.rows)
+        self._bytes += sum(
+            len(row.key) + len(row.value or b"") for row in reply.rows
+        )
+        if (
+            self._rows > answer_limits.MAX_READ_ROWS
+            or self._bytes > answer_limits.MAX_ANSWER_BYTES
+        ):
+            raise exceptions.AnswerRejectedError(
+                f"GET {self._path}: {self._rows} rows of {self._bytes} bytes"
+            )
+
+
 class PlatformStore(store_source.StoreSource):
     """Reads manifests and entries of workers and nodes; registers nodes."""
 
@@ -124,8 +152,10 @@
         """
         replies = []
         params = {"table": table, "part": ""}
+        size = _ReadSize(path="/rows-get")
         while True:
             reply = await self._get_rows("/rows-get", params)
+            size.add(reply)
             replies.append(reply)
             if not reply.has_more or not reply.rows:
                 break
@@ -154,6 +184,7 @@
     ) -> wire.RowsReply:
         """Returns the last change of each row that changed after a version."""
         rows: dict[str, wire.Row] = {}
+        size = _ReadSize(path="/rows-feed")
         while True:
             params = {
                 "table": table,
@@ -161,6 +192,7 @@
                 "wait_ms": str(int(wait_s * 1000)),
             }
             reply = await self._get_rows("/rows-feed", params, wait_s=wait_s)
+            size.add(reply)
             rows |= {row.key: row for row in reply.rows}
             if not reply.has_more:
                 return wire.RowsReply(rows=tuple(rows.values()), ver=reply.ver)
@@ -178,7 +210,10 @@
     ) -> wire.RowsReply:
         body = await self._request("GET", path, wait_s=wait_s, params=params)
         try:
+            answer_limits.check_structure(body)
             return _rows_decoder.decode(body)
+        except exceptions.AnswerRejectedError as exc:
+            raise exceptions.AnswerRejectedError(f"GET {path}: {exc}") from exc
         except (
             msgspec.DecodeError,
             UnicodeDecodeError,
@@ -204,11 +239,15 @@
                 async with self._session.request(
                     method, self._base_url + path, **kwargs
                 ) as resp:
-                    body = await resp.read()
+                    body = await answer_limits.read_body(resp)
                     self._exchanged_bytes += len(body)
+        except exceptions.AnswerRejectedError as exc:
+            raise exceptions.AnswerRejectedError(
+                f"{method} {path}: {exc}"
+            ) from exc
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise exceptions.PlatformUnavailableError(
-                f"{method} {path}: {type(exc).__name__}: {exc}"
+                f"{method} {path}: {answer_limits.error_text(exc)}"
             ) from exc
         if resp.status == _HISTORY_LOST_STATUS:
             raise exceptions.HistoryLostError(f"{method} {path}")
--- a/tanagerspoke/transport/operations/edge_metrics.py
+++ b/tanagerspoke/transport/operations/edge_metrics.py
@@ -287,7 +287,7 @@
         self._ejections.labels(service).inc()
 
     def count_store_call(self, result: str) -> None:
-        """Counts a call to the store: `ok`, `history_lost` or `failed`."""
+        """Counts a call to the store by its result, see `StoreFollower`."""
         self._store_calls.labels(result).inc()
 
     def observe_queue_wait(self, service: str, wait_s: float) -> None:
--- a/tanagerspoke/transport/peers/zone_feed_service.py
+++ b/tanagerspoke/transport/peers/zone_feed_service.py
@@ -75,8 +75,8 @@
             on_nodes: called with the listed nodes when they changed, None while
                 this node is not listed.
             on_zones: called with all evacuated zones when they changed.
-            on_store_call: called with the result of each store call: `ok`,
-                `failed` or `history_lost`.
+            on_store_call: called with the result of each store call, see
+                `StoreFollower`.
             on_unreadable_row: called for each row of the store that holds no
                 valid entry.
         """
--- a/tanagerspoke/transport/store/platform_client.py
+++ b/tanagerspoke/transport/store/platform_client.py
@@ -8,6 +8,7 @@
 from tanagerspoke import exceptions
 from tanagerspoke.protocol import platform
 from tanagerspoke.settings import options
+from tanagerspoke.transport.store import answer_limits
 
 _transaction_reply_decoder = msgspec.json.Decoder(platform.TransactionReply)
 _row_decoder = msgspec.json.Decoder(platform.Row)
@@ -18,8 +19,9 @@
 class PlatformClient:
     """Calls the platform; each call ends after `timeout_s` at the latest.
 
-    Every call raises `PlatformUnavailableError` if there is no valid reply. It
-    is unknown then whether a transaction took effect.
+    Every call raises `PlatformUnavailableError` if there is no valid reply, and
+    its subclass `AnswerRejectedError` if the reply exceeds a bound. It is
+    unknown then whether a transaction took effect.
     """
 
     def __init__(self, *, endpoint: options.Endpoint, timeout_s: float) -> None:
@@ -103,10 +105,14 @@
             async with self._session.request(
                 method, self._base_url + path, **kwargs
             ) as resp:
-                return resp.status, await resp.read()
+                return resp.status, await answer_limits.read_body(resp)
+        except exceptions.AnswerRejectedError as exc:
+            raise exceptions.AnswerRejectedError(
+                f"{method} {path}: {exc}"
+            ) from exc
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise exceptions.PlatformUnavailableError(
-                f"{method} {path}: {type(exc).__name__}: {exc}"
+                f"{method} {path}: {answer_limits.error_text(exc)}"
             ) from exc
 
 
@@ -118,9 +124,10 @@
 
 
 def _decode(decoder: msgspec.json.Decoder, body: bytes) -> Any:
+    answer_limits.check_structure(body)
     try:
         return decoder.decode(body)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise exceptions.PlatformUnavailableError(
             f"malformed reply from the platform: {exc}"
         ) from exc
--- a/tanagerspoke/transport/store/store_follower.py
+++ b/tanagerspoke/transport/store/store_follower.py
@@ -44,6 +44,9 @@
 _MAX_RETRY_DELAY_S = 0.8
 _PROBLEM_LOG_LINES_PER_S = 2.0
 _PROBLEM_LOG_BURST_LINES = 20
+# Each table is read again after `_MAX_RETRY_DELAY_S`.
+_REJECTION_LOG_LINES_PER_S = 0.1
+_REJECTION_LOG_BURST_LINES = 5
 
 
 class StoreFollower(mode.Service):
@@ -63,8 +66,8 @@
         on_upstreams: called when the upstreams in use changed, and after the
             first read.
         on_nodes: called with each list of nodes that is read.
-        on_store_call: called with the result of each call: `ok`, `failed` or
-            `history_lost`.
+        on_store_call: called with the result of each call: `ok`, `failed`,
+            `rejected` (the answer exceeds a bound) or `history_lost`.
         on_unreadable_row: called for each row that holds no valid entry.
     """
 
@@ -114,6 +117,11 @@
             rate_per_s=_PROBLEM_LOG_LINES_PER_S,
             burst=_PROBLEM_LOG_BURST_LINES,
         )
+        self._rejection_log_limit = log_limit.LogLimit(
+            event="store_answer_rejected",
+            rate_per_s=_REJECTION_LOG_LINES_PER_S,
+            burst=_REJECTION_LOG_BURST_LINES,
+        )
 
     @property
     def is_reading(self) -> bool:
@@ -339,6 +347,14 @@
             self._on_store_call("history_lost")
             log.info("store_history_lost")
             return None
+        except exceptions.AnswerRejectedError as exc:
+            # The store can be reached, so reads of its other tables go on.
+            self._health.record_reply()
+            self._on_store_call("rejected")
+            if self._rejection_log_limit.try_acquire("store"):
+                log.warning("store_answer_rejected", extra={"error": str(exc)})
+            await asyncio.sleep(_MAX_RETRY_DELAY_S)
+            return None
         except exceptions.PlatformError as exc:
             self._health.record_failure(exc)
             self._on_store_call("failed")
--- a/tanagerspoke/transport/store/store_source.py
+++ b/tanagerspoke/transport/store/store_source.py
@@ -10,9 +10,10 @@
 class StoreSource(Protocol):
     """Reads and writes the platform's store in platform-independent types.
 
-    Every call raises `PlatformUnavailableError` if there is no valid reply. A
-    call with a position raises `HistoryLostError` if the store no longer has
-    the changes after that position.
+    Every call raises `PlatformUnavailableError` if there is no valid reply, and
+    its subclass `AnswerRejectedError` if the reply exceeds a bound. A call with
+    a position raises `HistoryLostError` if the store no longer has the changes
+    after that position.
     """
 
     @property
