Lower the bound on rows of one read to 20,000

Cause: 50,000 rows of 14.3 MB raised the memory of the reading process by 65.1 MB, too much for nodes with 152 MB.

Ruled out: a lower bound on bytes, which a large manifest needs.

Change: 20,000 rows. A node that was frozen for long may meet the bound when it reads the changes that it missed; it then reads the table.

--- a/tanagerspoke/transport/store/answer_limits.py
+++ b/tanagerspoke/transport/store/answer_limits.py
@@ -15,8 +15,9 @@
 # manifest of 5,000 routes with long names takes 1.8 MB, base64 included.
 MAX_ANSWER_BYTES = 16_777_216
 # Rows of one read, in all of its answers. The largest documented deployment
-# has 170 nodes and 141 upstreams; a feed may repeat each change of a row.
-MAX_READ_ROWS = 50_000
+# has 170 nodes and 141 upstreams; a feed may repeat each change of a row. With
+# 50,000 rows, a read raised the memory of the process by 65 MB.
+MAX_READ_ROWS = 20_000
 # The documented answers have three levels; newer ones may have more.
 _MAX_NESTING = 32
 _MAX_ERROR_CHARS = 300
