Answer pipelined requests before an invalid one

Cause: aiohttp's parser raises an error for an invalid request and returns none of the valid ones that it read in the same call. Their callers got one 400 in place of their responses, or a second 400 behind the first response. Also, after 17 requests the parser paused, and where each call ended before the next one started, nothing resumed it until further bytes arrived.

Ruled out: reading the parser's list of messages, which it does not expose; parsing the bytes a second time, since its state is lost.

Change: the parser pauses behind each request, and the connection goes on until no request is complete or 16 wait. Reading then pauses and is resumed where requests were taken, as before.

--- a/tanagerspoke/transport/callers/caller_connection.py
+++ b/tanagerspoke/transport/callers/caller_connection.py
@@ -134,8 +134,9 @@
             max_headers=_MAX_HEADER_COUNT,
             payload_exception=web.RequestPayloadError,
             auto_decompress=False,
-            # The running request counts as well.
-            max_msg_queue_size=_MAX_PIPELINED_REQUESTS + 1,
+            # Pauses behind each request: the parser raises an error instead
+            # of returning the requests before an invalid one.
+            max_msg_queue_size=1,
         )
         super().__init__(loop, parser)
         self._handler = handler
@@ -252,23 +253,45 @@
             self._count_pipelined(len(data))
 
     def _parse(self, data: bytes) -> None:
+        while self._parse_request(data):
+            if len(self._pending_messages) >= _MAX_PIPELINED_REQUESTS:
+                # `_resume_pipeline` continues with what is not parsed yet.
+                self._pause_reading_for_buffer()
+                return
+            data = b""
+
+    def _parse_request(self, data: bytes) -> bool:
+        """Parses up to the end of a request; returns whether it was reached.
+
+        The parser keeps what follows.
+        """
+        payload = self._last_payload
+        was_in_body = payload is not None and not payload.is_eof()
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
         except http_exceptions.HttpProcessingError as exc:
             self._fail_parsing(exc)
-            return
+            return False
+        # The parser reads no further requests after one that asks for an
+        # upgrade. No upgrade is granted; the connection closes after the
+        # response.
+        self._upgraded = self._upgraded or upgraded
         if messages:
             self._pending_messages.extend(messages)
             self._framing = None
-            self._last_payload = messages[-1][1]
+            payload = self._last_payload = messages[-1][1]
             if not self._has_call and self.holding.size_bytes:
                 self._guard.release(self.holding)
-        elif data and not self._buffer_paused and not self._reading_paused:
+            return payload.is_eof() and not upgraded
+        if data and not self._buffer_paused and not self._reading_paused:
             self._count_framing(len(data))
-        # The parser reads no further requests after one that asks for an
-        # upgrade. No upgrade is granted; the connection closes after the
-        # response.
-        self._upgraded = self._upgraded or upgraded
+        return (
+            was_in_body
+            and payload.is_eof()
+            and not upgraded
+            and not self._parsing_failed
+            and self._parser is not None
+        )
 
     def _fail_parsing(self, exc: http_exceptions.HttpProcessingError) -> None:
         self._pending_messages.append(exc)
@@ -293,11 +316,6 @@
 
     def _count_pipelined(self, size_bytes: int) -> None:
         """Counts what was received behind the running request."""
-        if (
-            len(self._pending_messages) >= _MAX_PIPELINED_REQUESTS
-            and not self._buffer_paused
-        ):
-            self._pause_reading_for_buffer()
         self._pipeline.add(size_bytes, len(self._pending_messages))
 
     def _drop_pipeline(self) -> None:
@@ -516,8 +534,6 @@
         if self.holding.size_bytes:
             self._guard.release(self.holding)
         self.holding.is_dispatched = False
-        if self._parser is not None:
-            self._parser.message_consumed()
         if self.must_close:
             self._linger()
         elif not self._keep_alive or self._upgraded:
--- a/tests/transport/callers/test_caller_connection.py
+++ b/tests/transport/callers/test_caller_connection.py
@@ -181,3 +181,54 @@
         assert received_bytes == handler.written_bytes
         assert handler.conn.call is None
     server.close()
+
+
+@pytest.mark.parametrize("size", [1, 40, 10_000])
+async def test_invalid_request_leaves_those_before_it_in_force(
+    size: int,
+) -> None:
+    """Guards against pipelined requests that an invalid one behind them drops.
+
+    They are complete, and the caller would get one error in place of their
+    responses, however the bytes are split.
+    """
+    handler = RecordingHandler()
+    conn = _new_connection(handler)
+    data = (
+        _POST_HEADERS
+        + b"Content-Length: 7\r\n\r\nlockersGET /b HTTP/1.1\r\nHost: a\r\n\r\n"
+        + _POST_HEADERS
+        + b"Content-Length: x\r\n\r\n"
+    )
+    for start in range(0, len(data), size):
+        conn.data_received(data[start : start + size])
+    assert handler.events == ["/a", b"lockers"]
+    for events in (["/b", b""], []):
+        handler.events.clear()
+        assert not conn.must_close
+        conn.finish(keep_alive=True)
+        await asyncio.sleep(0)
+        assert handler.events == events
+
+
+class _FinishingHandler(RecordingHandler):
+    """Ends each call at once."""
+
+    def run_call(self, conn, body: bytes) -> None:
+        """Records the body and ends the call."""
+        super().run_call(conn, body)
+        conn.finish(keep_alive=True)
+
+
+async def test_pipelined_requests_that_end_at_once_are_all_run() -> None:
+    """Guards against requests that stay unparsed until further bytes arrive.
+
+    They are more than may wait, and each ends before the next one starts, as
+    those that are refused do.
+    """
+    handler = _FinishingHandler()
+    conn = _new_connection(handler)
+    conn.data_received(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n" * 100)
+    for _ in range(200):
+        await asyncio.sleep(0)
+    assert handler.events == ["/a", b""] * 100
