Refuse HTTP versions other than 1.0 and 1.1

Cause: the parser accepts a request line without a version, as in HTTP/0.9, with headers behind it, and HTTP/2.0. Such requests were run. A proxy that reads the bytes behind the request line differently could let a request pass that it did not see.

Ruled out: two spaces in the request line, which RFC 9112, section 3, lets a recipient accept.

Change: 400 malformed_request, and the connection closes.

Figures: both new cases of test_bad_requests_never_reach_a_worker failed before.

--- a/tanagerspoke/transport/callers/caller_server.py
+++ b/tanagerspoke/transport/callers/caller_server.py
@@ -40,6 +40,7 @@
 _BACKLOG = 128
 # Holdings without progress are closed for others after 2 s.
 _MEMORY_RETRY_AFTER_S = 1.0
+_VERSIONS = (aiohttp_http.HttpVersion11, aiohttp_http.HttpVersion10)
 _CLOSING_CODES = frozenset({errors.ErrorCode.HEADER_TOO_LARGE.value})
 _REASON_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
@@ -401,6 +402,7 @@
         record: caller_calls.CallRecord,
     ) -> caller_calls.CallerRequest:
         limits = self._limits()
+        _check_version(message)
         _check_expectation(message)
         header_bytes = caller_headers.check_header_size(
             message, limits.max_header_bytes
@@ -421,7 +423,7 @@
     def _may_keep_alive(self, call: _Call) -> bool:
         return (
             not call.should_close
-            and call.version >= aiohttp_http.HttpVersion11
+            and call.version == aiohttp_http.HttpVersion11
             and not self._is_stopping()
         )
 
@@ -653,6 +655,18 @@
     )
 
 
+def _check_version(message: aiohttp_http.RawRequestMessage) -> None:
+    """Refuses versions besides HTTP/1.0 and HTTP/1.1, which the parser accepts.
+
+    A proxy may understand the bytes behind such a request line differently.
+    """
+    if message.version not in _VERSIONS:
+        raise exceptions.CallRefusedError(
+            code=errors.ErrorCode.MALFORMED_REQUEST,
+            message="the version must be HTTP/1.0 or HTTP/1.1",
+        )
+
+
 def _check_expectation(message: aiohttp_http.RawRequestMessage) -> None:
     expected = message.headers.get("Expect", "100-continue")
     if expected.lower() != "100-continue":
--- a/tests/transport/test_edge_service.py
+++ b/tests/transport/test_edge_service.py
@@ -795,6 +795,12 @@
             b"X-Attempt-Id: q1\r\nX-Long: " + b"x" * 8000 + b"\r\n\r\n",
             431,
         ),
+        (b"GET /read/x\r\nX-Attempt-Id: q1\r\nHost: shop.example\r\n\r\n", 400),
+        (
+            b"GET /read/x HTTP/2.0\r\nHost: shop.example\r\n"
+            b"X-Attempt-Id: q1\r\n\r\n",
+            400,
+        ),
     ],
 )
 async def test_bad_requests_never_reach_a_worker(
