Let the test's own workers not take the port of its store

Cause: the test issued the fleet's port for the store before its 50 workers bound theirs. A fault of the test.

Ruled out: other uses of the port: the response is a worker's pattern.

Change: the fleet, and with it its ports, comes after the workers' ports.

--- a/tests/processes/test_endless_responses.py
+++ b/tests/processes/test_endless_responses.py
@@ -116,12 +116,14 @@
     service are served meanwhile. The workers are slow and called one after
     another, or they send without a pause and are called at once.
     """
-    fleet = edge_fleet.EdgeFleet(directory=tmp_path)
     contacted: set[int] = set()
     async with (
         _nonsense_workers(contacted, pause_s=pause_s) as ports,
         contextlib.AsyncExitStack() as exit_stack,
     ):
+        # The fleet's ports are not reserved: workers that bind theirs later
+        # could take the port of the store.
+        fleet = edge_fleet.EdgeFleet(directory=tmp_path)
         try:
             await fleet.start()
             node = fleet.add_node("edge-1", "a")
