Read the host list in time while the control budget is used up

Its agents use the whole control budget (about 3,800 of 3,809 B/s: heartbeats 2,000, heads 740, host list and drain rows 950, probes 120). The reads of the host list were deferred, while the shorter reads of the drain rows took the bytes for which they waited; each of these also ended the time of deferral, which is counted for both reads together, so that the reserve was never waived. A fault of the product: a host list could be read 5.8 s after the read before it, and an upstream that leaves got new calls until then.

Ruled out: a slow reply of the platform (1 to 8 ms), processor time alone (also seen with short waits for it), gateways that ignore a mark (calls ended within 0.5 s of the mark).

Change: a read that is deferred is not overtaken by the other one, and host lists and drain rows need no reserve once they have waited for 0.5 s.

--- a/tanagerspoke/coordination/budget.py
+++ b/tanagerspoke/coordination/budget.py
@@ -60,8 +60,10 @@
 
 # Time of deferral after which an exchange of a kind needs no reserve. Otherwise
 # polls at their shortest interval would keep the bucket too empty for probes,
-# which would never be sent.
+# which would never be sent. Host lists wait less: an upstream that leaves must
+# get no new calls 3 s later, of which the poll interval takes up to 1.25 s.
 _MAX_RESERVE_WAIT_S = 5.0
+_MAX_HOSTS_RESERVE_WAIT_S = 0.5
 
 # Kinds that are still granted while processor time or memory is overspent. The
 # claims of a surge run in the same process and must not delay a configuration
@@ -184,7 +186,12 @@
         if overspent and kind not in _ESSENTIAL_KINDS:
             return False
         reserve = self._refill_bytes_per_s * _RESERVE_SHARE[kind]
-        if now - self._deferred_since.get(kind, now) >= _MAX_RESERVE_WAIT_S:
+        max_wait_s = (
+            _MAX_HOSTS_RESERVE_WAIT_S
+            if kind is Kind.HOSTS
+            else _MAX_RESERVE_WAIT_S
+        )
+        if now - self._deferred_since.get(kind, now) >= max_wait_s:
             reserve = 0.0
         return self._available_bytes >= min(
             size_bytes + reserve, self._refill_bytes_per_s
--- a/tanagerspoke/transport/store/host_service.py
+++ b/tanagerspoke/transport/store/host_service.py
@@ -50,6 +50,10 @@
         self._on_draining = on_draining
         self._rng = rng
         self._known_version = -1
+        # Held from the first try of a read until it is granted. Otherwise the
+        # short read of drain rows takes the bytes for which the host list
+        # waits, and ends the wait that both count together.
+        self._turn = asyncio.Lock()
 
     @mode.Service.task
     @supervision.restarted
@@ -67,12 +71,18 @@
 
     async def _poll_once(self, read: Callable[[], Awaitable[None]]) -> float:
         """Reads once; returns the time until the next read in seconds."""
-        try:
-            await read()
-        except metered_platform.DeferredError:
-            return _DEFERRED_RETRY_DELAY_S
-        except exceptions.PlatformError as exc:
-            log.warning("platform_unavailable", extra={"error": str(exc)})
+        async with self._turn:
+            while True:
+                try:
+                    await read()
+                except metered_platform.DeferredError:
+                    await asyncio.sleep(_DEFERRED_RETRY_DELAY_S)
+                    continue
+                except exceptions.PlatformError as exc:
+                    log.warning(
+                        "platform_unavailable", extra={"error": str(exc)}
+                    )
+                break
         return self._interval_s * self._rng.uniform(
             1 - _POLL_JITTER, 1 + _POLL_JITTER
         )
--- a/tests/coordination/test_budget.py
+++ b/tests/coordination/test_budget.py
@@ -1,10 +1,12 @@
 """Tests of the control plane budget."""
 
 import itertools
+import random
 
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+import pytest
 
 from tanagerspoke.coordination import budget
 
@@ -126,6 +128,53 @@
     assert max(gaps) <= 6.0
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_host_list_is_granted_in_time_while_the_budget_is_used_up(
+    seed: int,
+) -> None:
+    """Guards against a list of leaving hosts that is read after their drain.
+
+    New calls must end 3 s after the entry changed. The poll interval takes up
+    to 1.25 s of it, and the news to other hosts 0.3 s.
+    """
+    rng = random.Random(seed)
+    control_budget = _budget()
+    due_at = {"heartbeat": 0.3, "peer": 0.4, "head": 0.5, "list": 0.6}
+    waits = []
+
+    def is_granted(kind: budget.Kind, size: int, now: float) -> bool:
+        grant = control_budget.request(kind=kind, size_bytes=size, now=now)
+        if grant is not None:
+            control_budget.settle(grant, used_bytes=size, now=now)
+        return grant is not None
+
+    list_due_at = due_at["list"]
+    for tick in range(1, 6001):
+        now = tick / 100
+        for name in [n for n, at in due_at.items() if now >= at]:
+            # Half a second between heartbeats to two peers, and from one.
+            due_at[name] = now + rng.uniform(0.4, 0.6)
+            match name:
+                case "peer":
+                    control_budget.charge(
+                        kind=budget.Kind.HEARTBEAT, size_bytes=300, now=now
+                    )
+                case "heartbeat":
+                    is_granted(budget.Kind.HEARTBEAT, 560, now)
+                    is_granted(budget.Kind.HEARTBEAT, 560, now)
+                case "head":
+                    if is_granted(budget.Kind.HEAD, 791, now):
+                        due_at[name] = now + rng.uniform(0.75, 1.25)
+                case _ if is_granted(budget.Kind.HOSTS, 534, now):
+                    waits.append(now - list_due_at)
+                    # The list and the drain rows in turn.
+                    list_due_at = now + rng.uniform(0.375, 0.625)
+                    due_at[name] = list_due_at
+                case _:
+                    due_at[name] = now + 0.25
+    assert max(waits) <= 3.0 - 1.25 - 0.3
+
+
 def test_essential_kinds_are_granted_while_processor_time_is_overspent() -> (
     None
 ):
