Let the fuzz target wait until calls no longer follow each other

A fault of the fuzz target: it took a connection for idle while pipelined calls, which end at once, still followed each other.

Ruled out: a stall of the connection: the three cases pass with more rounds of the event loop.

Change: a case ends when nothing was dispatched or received for some rounds.

--- a/bench/caller_bytes.py
+++ b/bench/caller_bytes.py
@@ -261,10 +261,14 @@
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._record_problem)
         idle_rounds = 0
+        progress = self._progress()
         while idle_rounds < _IDLE_ROUNDS:
             idle_rounds = 0 if self._step() else idle_rounds + 1
             for _ in range(self._rng.choice((0, 0, 1, 3)) or idle_rounds):
                 await asyncio.sleep(0)
+            # Calls that end at once follow each other without a step.
+            if progress != (progress := self._progress()):
+                idle_rounds = 0
         if not self._problems:
             for number, conn in enumerate(self._conns):
                 self._check_connection(number, conn)
@@ -277,6 +281,10 @@
         _require(used_bytes == 0, f"{used_bytes} bytes are still counted")
         return len(self._runs)
 
+    def _progress(self) -> tuple[int, int]:
+        received = sum(len(conn.transport.received) for conn in self._conns)
+        return len(self._runs), received
+
     def _step(self) -> bool:
         """Lets one thing happen; returns whether anything could."""
         rng = self._rng
