Move the connection and the responses out of the fuzz target

Ruled out: nothing else was considered.

Change: only moves, with the public names and docstrings that these need.

--- a/bench/caller_bytes.py
+++ b/bench/caller_bytes.py
@@ -21,6 +21,8 @@
 import cyclopts
 
 from bench import caller_requests
+from bench import caller_responses
+from bench import caller_transport
 from tanagerspoke.coordination.caller_memory import limits as memory_limits
 from tanagerspoke.platform import headers as platform_headers
 from tanagerspoke.protocol import errors
@@ -33,6 +35,7 @@
 from tanagerspoke.transport.upstreams import upstream_client
 
 _Expected = caller_requests.Expected
+_require = caller_responses.require
 _DISPATCHED = frozenset({_Expected.SERVED, _Expected.LAST})
 # Nothing is dispatched behind these.
 _ENDING = frozenset({_Expected.LAST, _Expected.BROKEN})
@@ -40,7 +43,6 @@
 _AMPLE_BYTES = 100_000_000
 # Three bodies of the maximum size do not fit.
 _SCARCE_BYTES = 100_000
-_SERVED = "x-served"
 # Errors that the server sends only after an unexpected exception.
 _UNEXPECTED_STATUSES = frozenset({500, 504})
 # Rounds of the event loop without progress after which a case has ended.
@@ -51,114 +53,6 @@
 )
 
 
-class CheckFailedError(Exception):
-    """A case violates one of the checks."""
-
-
-def _require(condition: object, message: str) -> None:
-    if not condition:
-        raise CheckFailedError(message)
-
-
-class _Transport(asyncio.Transport):
-    """Transport that a case controls; what the caller has read is kept.
-
-    Attributes:
-        received: bytes that the caller has read.
-        is_reading: whether the protocol accepts bytes.
-        is_lost: whether the protocol was told that the connection is lost.
-        was_reset: whether the protocol reset the connection.
-    """
-
-    def __init__(self, *, is_slow: bool) -> None:
-        super().__init__()
-        self._is_slow = is_slow
-        self._unsent = bytearray()
-        self._is_closing = False
-        self._is_paused = False
-        self._protocol: caller_connection.CallerConnection | None = None
-        self.received = bytearray()
-        self.is_reading = True
-        self.is_lost = False
-        self.was_reset = False
-
-    def connect(self, protocol: caller_connection.CallerConnection) -> None:
-        self._protocol = protocol
-        protocol.connection_made(self)
-
-    def get_extra_info(self, name: str, default: object = None) -> object:
-        del name
-        return default
-
-    def set_write_buffer_limits(
-        self, high: int | None = None, low: int | None = None
-    ) -> None:
-        del high, low
-
-    def get_write_buffer_size(self) -> int:
-        return len(self._unsent)
-
-    def is_closing(self) -> bool:
-        return self._is_closing
-
-    def pause_reading(self) -> None:
-        self.is_reading = False
-
-    def resume_reading(self) -> None:
-        self.is_reading = True
-
-    def can_write_eof(self) -> bool:
-        return True
-
-    def write_eof(self) -> None:
-        pass
-
-    def write(self, data: bytes) -> None:
-        _require(not self.is_lost, "write after the end of the connection")
-        if not self._is_slow:
-            self.received += data
-            return
-        self._unsent += data
-        if self._unsent and not self._is_paused:
-            self._is_paused = True
-            self._protocol.pause_writing()
-
-    def read(self, size: int) -> None:
-        """Lets the caller read up to this number of unsent bytes."""
-        if self.is_lost or not self._unsent:
-            return
-        self.received += self._unsent[:size]
-        del self._unsent[:size]
-        if not self._unsent:
-            self._is_paused = False
-            self._protocol.resume_writing()
-            if self._is_closing:
-                self._lose_soon()
-
-    def close(self) -> None:
-        if not self._is_closing:
-            self._is_closing = True
-            if not self._unsent:
-                self._lose_soon()
-
-    def abort(self) -> None:
-        self.was_reset = True
-        self._is_closing = True
-        self._unsent.clear()
-        self._lose_soon()
-
-    def lose(self) -> None:
-        """Ends the connection, as if the caller had reset it."""
-        if not self.is_lost:
-            self.is_lost = True
-            self._is_closing = True
-            self._unsent.clear()
-            self._protocol.connection_lost(None)
-
-    def _lose_soon(self) -> None:
-        asyncio.get_running_loop().call_soon(self.lose)
-
-
 @dataclasses.dataclass(kw_only=True)
 class _Run:
     """A dispatched request.
@@ -182,7 +76,7 @@
         self,
         *,
         stream: caller_requests.Stream,
-        transport: _Transport,
+        transport: caller_transport.Transport,
         protocol: caller_connection.CallerConnection,
     ) -> None:
         self.stream = stream
@@ -247,7 +141,7 @@
             limits=lambda: _LIMITS,
             guard=self._guard,
         )
-        transport = _Transport(is_slow=self._rng.random() < 0.3)
+        transport = caller_transport.Transport(is_slow=self._rng.random() < 0.3)
         return _Connection(
             stream=stream, transport=transport, protocol=protocol
         )
@@ -355,7 +249,7 @@
                 stream.finish()
             response = upstream_client.Response(
                 status=200,
-                headers=((_SERVED, f"{number}"),),
+                headers=((caller_responses.SERVED, f"{number}"),),
                 body=b"x" * size if has_body else b"",
                 stream=stream,
                 content_length=None,
@@ -406,7 +300,7 @@
             )
         if conn.transport.is_lost and self._has_resets:
             return
-        responses = _parse_responses(
+        responses = caller_responses.parse_responses(
             bytes(conn.transport.received),
             [request.method for request in requests],
             may_be_cut=conn.transport.was_reset,
@@ -425,22 +319,9 @@
             _check_requests(conn, responses)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Response:
-    """A response that a caller received.
-
-    Attributes:
-        served: number of the run that it belongs to, None for an error.
-        closes: whether the connection ends after it.
-    """
-
-    status: int
-    served: int | None
-    closes: bool
-    body: bytes
-
-
-def _check_requests(conn: _Connection, responses: list[_Response]) -> None:
+def _check_requests(
+    conn: _Connection, responses: list[caller_responses.Response]
+) -> None:
     """Checks that each request was answered, where memory is ample."""
     requests = conn.stream.requests
     for index, request in enumerate(requests):
@@ -473,71 +354,6 @@
         )
 
 
-def _parse_responses(
-    data: bytes, methods: list[str], *, may_be_cut: bool
-) -> list[_Response]:
-    """Returns the final responses to requests with these methods.
-
-    Raises:
-        CheckFailedError: the bytes are no whole responses.
-    """
-    responses: list[_Response] = []
-    while data:
-        method = "POST"
-        if len(responses) < len(methods):
-            method = methods[len(responses)]
-        try:
-            resp, data = _parse_response(data, method)
-        except (ValueError, IndexError) as exc:
-            if may_be_cut:
-                return responses
-            raise CheckFailedError(
-                f"malformed response {data[:300]!r}"
-            ) from exc
-        if resp.status != 100:
-            responses.append(resp)
-            _require(
-                not (resp.closes and data),
-                f"bytes after the end: {data[:99]!r}",
-            )
-    return responses
-
-
-def _parse_response(data: bytes, method: str) -> tuple[_Response, bytes]:
-    head, rest = data.split(b"\r\n\r\n", 1)
-    status_line, *lines = head.decode("latin-1").split("\r\n")
-    version, status = status_line.split(" ")[:2]
-    if version != "HTTP/1.1":
-        raise ValueError(version)
-    fields = dict(line.lower().split(": ", 1) for line in lines)
-    body = b""
-    if fields.get("transfer-encoding") == "chunked":
-        while True:
-            line, rest = rest.split(b"\r\n", 1)
-            size = int(line, 16)
-            if rest[size : size + 2] != b"\r\n":
-                raise ValueError(line)
-            body += rest[:size]
-            rest = rest[size + 2 :]
-            if not size:
-                break
-    elif method != "HEAD" and "content-length" in fields:
-        size = int(fields["content-length"])
-        if len(rest) < size:
-            raise ValueError("short body")
-        body, rest = rest[:size], rest[size:]
-    elif method != "HEAD" and status != "100":
-        # The end of the connection ends the body.
-        body, rest = rest, b""
-    resp = _Response(
-        status=int(status),
-        served=int(fields[_SERVED]) if _SERVED in fields else None,
-        closes=fields.get("connection") == "close",
-        body=body,
-    )
-    return resp, rest
-
-
 async def run_cases(
     *, seed: int, first: int, cases: int, seconds: float = float("inf")
 ) -> tuple[int, int, list[str]]:
@@ -555,7 +371,7 @@
             runs += await Case(seed=seed, number=number).run()
         except Exception as exc:
             text = str(exc)
-            if not isinstance(exc, CheckFailedError):
+            if not isinstance(exc, caller_responses.CheckFailedError):
                 text = traceback.format_exc()
             failures.append(f"seed {seed}, case {number}: {text}")
         number += 1
