Build queued calls of tests in one place

Cause: two test files built the same queued call. Ruled out: keeping a copy for each file, which differed in defaults only.

--- a/tests/coordination/fair_shares/test_queue_order.py
+++ b/tests/coordination/fair_shares/test_queue_order.py
@@ -18,31 +18,6 @@
 _NOW = 5.0
 
 
-def _queued_call(
-    call_id: int,
-    *,
-    account: str = "",
-    arrived_at: float = 0.0,
-    latest_start_at: float = 9.0,
-    account_priority: int = 0,
-    priority: int = 0,
-) -> target_queue.QueuedCall:
-    return target_queue.QueuedCall(
-        call=calls.Call(
-            call_id=call_id,
-            client_account=account,
-            call_class=calls.CallClass.LOOKUP,
-            idempotent=True,
-            arrived_at=arrived_at,
-            deadline=arrived_at + 9.0,
-            account_priority=account_priority,
-            priority=priority,
-        ),
-        latest_start_at=latest_start_at,
-        expires_at=arrived_at + 5.0,
-    )
-
-
 def _rates(**limits: float) -> account_rates.AccountRates:
     rates = account_rates.AccountRates()
     rates.apply(
@@ -74,7 +49,9 @@
     ),
     max_size=14,
 ).map(
-    lambda options: [_queued_call(i, **each) for i, each in enumerate(options)]
+    lambda options: [
+        helpers.make_queued_call(i, **each) for i, each in enumerate(options)
+    ]
 )
 
 
@@ -115,7 +92,9 @@
     for each in queued:
         queue.push(each)
     for account in sent:
-        queue.record_sent(_queued_call(0, account=account).call, 4.0)
+        queue.record_sent(
+            helpers.make_queued_call(0, account=account).call, 4.0
+        )
     order = queue.order(_NOW)
     groups = [former_key(each)[:3] for each in order]
     assert groups == sorted(groups)
@@ -134,9 +113,11 @@
         shares=service_shares.ServiceShares(rates=_rates(a=2.0, b=2.0))
     )
     for number in range(6):
-        queue.push(_queued_call(number, account="a", arrived_at=number))
-        queue.record_sent(_queued_call(0, account="a").call, _NOW)
-    newcomer = _queued_call(9, account="b", arrived_at=0.0)
+        queue.push(
+            helpers.make_queued_call(number, account="a", arrived_at=number)
+        )
+        queue.record_sent(helpers.make_queued_call(0, account="a").call, _NOW)
+    newcomer = helpers.make_queued_call(9, account="b", arrived_at=0.0)
     assert queue.calls_ahead(newcomer, _NOW) == 0
     assert len(queue) == 6
 
@@ -177,7 +158,7 @@
         shares=service_shares.ServiceShares(rates=_rates(a=1.0, b=1.0, c=1.0))
     )
     for number, account in enumerate("aaabbbccc"):
-        queue.push(_queued_call(number, account=account))
+        queue.push(helpers.make_queued_call(number, account=account))
     first = [each.call.client_account for each in queue.order(_NOW)[:3]]
     assert sorted(first) == ["a", "b", "c"]
 
@@ -206,7 +187,11 @@
     rng = random.Random(1)
     accounts = list(limits)
     for number, account in enumerate(accounts * 3):
-        queue.push(_queued_call(number, account=account, arrived_at=-number))
+        queue.push(
+            helpers.make_queued_call(
+                number, account=account, arrived_at=-number
+            )
+        )
     served: collections.Counter[str] = collections.Counter()
     now = 0.0
     while (now := now + rng.expovariate(served_calls_per_s)) < 40.0:
@@ -215,7 +200,9 @@
         queue.remove(first.call.call_id)
         queue.record_sent(first.call, now)
         queue.push(
-            _queued_call(first.call.call_id, account=account, arrived_at=now)
+            helpers.make_queued_call(
+                first.call.call_id, account=account, arrived_at=now
+            )
         )
         if now > 10.0:
             served[account] += 1
--- a/tests/coordination/helpers.py
+++ b/tests/coordination/helpers.py
@@ -6,6 +6,7 @@
 from tanagerspoke.coordination import retry_budget
 from tanagerspoke.coordination import route_scheduling
 from tanagerspoke.coordination import scheduling
+from tanagerspoke.coordination import target_queue
 from tanagerspoke.protocol import calls
 from tanagerspoke.protocol import upstreams
 
@@ -113,6 +114,31 @@
     )
 
 
+def make_queued_call(
+    call_id: int,
+    *,
+    account: str = "",
+    arrived_at: float = 0.0,
+    latest_start_at: float = 9.0,
+    account_priority: int = 0,
+    priority: int = 0,
+) -> target_queue.QueuedCall:
+    return target_queue.QueuedCall(
+        call=calls.Call(
+            call_id=call_id,
+            client_account=account,
+            call_class=calls.CallClass.LOOKUP,
+            idempotent=True,
+            arrived_at=arrived_at,
+            deadline=arrived_at + 9.0,
+            account_priority=account_priority,
+            priority=priority,
+        ),
+        latest_start_at=latest_start_at,
+        expires_at=arrived_at + 5.0,
+    )
+
+
 def arrive(
     scheduler: scheduling.ServiceScheduler, call: calls.Call, now: float
 ) -> list[calls.SchedulerAction]:
--- a/tests/coordination/test_target_queue.py
+++ b/tests/coordination/test_target_queue.py
@@ -4,29 +4,7 @@
 from hypothesis import strategies as st
 
 from tanagerspoke.coordination import target_queue
-from tanagerspoke.protocol import calls
-
-
-def _queued_call(
-    call_id: int,
-    *,
-    arrived_at: float,
-    latest_start_at: float,
-    priority: int = 0,
-) -> target_queue.QueuedCall:
-    return target_queue.QueuedCall(
-        call=calls.Call(
-            call_id=call_id,
-            client_account="",
-            call_class=calls.CallClass.LOOKUP,
-            idempotent=True,
-            arrived_at=arrived_at,
-            deadline=arrived_at + 9.0,
-            priority=priority,
-        ),
-        latest_start_at=latest_start_at,
-        expires_at=arrived_at + 5.0,
-    )
+from tests.coordination import helpers
 
 
 @given(
@@ -42,7 +20,7 @@
     queue = target_queue.TargetQueue()
     for number, (arrived_at, latest_start_at, priority) in enumerate(arrivals):
         queue.push(
-            _queued_call(
+            helpers.make_queued_call(
                 number,
                 arrived_at=arrived_at,
                 latest_start_at=latest_start_at,
@@ -70,8 +48,8 @@
 def test_expired_calls_leave_the_queue() -> None:
     """Guards against calls that stay queued after their expiry."""
     queue = target_queue.TargetQueue()
-    queue.push(_queued_call(1, arrived_at=0.0, latest_start_at=1.0))
-    queue.push(_queued_call(2, arrived_at=1.0, latest_start_at=2.0))
+    queue.push(helpers.make_queued_call(1, arrived_at=0.0, latest_start_at=1.0))
+    queue.push(helpers.make_queued_call(2, arrived_at=1.0, latest_start_at=2.0))
     assert queue.next_expiry == 5.0
     assert [c.call.call_id for c in queue.pop_expired(5.5)] == [1]
     assert queue.call_ids == [2]
