--- a/tanagerspoke/commands/program.py
+++ b/tanagerspoke/commands/program.py
@@ -23,6 +23,7 @@
 EXIT_FAILED = 1
 EXIT_INVALID = 2
 EXIT_CONFLICT = 3
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class RunnableService(Protocol):
@@ -89,7 +90,7 @@
             service.force_stop()
         stop.set()
 
-    for signum in (signal.SIGTERM, signal.SIGINT):
+    for signum in _STOP_SIGNALS:
         loop.add_signal_handler(signum, on_signal)
     if isinstance(service, Reloadable):
         loop.add_signal_handler(signal.SIGHUP, service.reload)
@@ -98,6 +99,11 @@
         await _wait_for_stop(service, stop)
     finally:
         await service.close()
+        for signum in _STOP_SIGNALS:
+            # The end of the loop would restore the default: a repeated signal
+            # would kill a process whose stop is complete.
+            loop.remove_signal_handler(signum)
+            signal.signal(signum, signal.SIG_IGN)
     return not getattr(service, "crashed", False)
 
 
