Let the worker stand-in request pauses and log what the soak checks

Cause: the edge soak has to check keys, accounts, cold workers and pauses from the workers' side. Ruled out: refusals in the run log, which by its purpose holds runs only. Change: fault pause_s (Retry-After of refused requests), a log of refused requests beside the run log, and in run entries the account, whether a key arrived and whether the worker was cold. The fleet of the bench writes tenants, evacuations, an upload route and the bounds of the settings.

--- a/bench/edge_fleet.py
+++ b/bench/edge_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Collection, Mapping
 import dataclasses
 import json
 import os
@@ -25,6 +26,7 @@
     "/write/": ("booking", "unsafe", 15.0),
     "/pull/": ("availability", "safe", 60.0),
     "/export/": ("export", "safe", 900.0),
+    "/upload/": ("upload", "upload", 30.0),
 }
 # The following times are as in the platform's settings file.
 
@@ -37,6 +39,20 @@
 # Setting of the edges: time between SIGTERM and SIGKILL.
 GRACE_S = 6.0
 ROUTE_TIMEOUT_S = 4.0
+# Time after which no call runs on a key that the newest manifest lacks.
+REVOKE_S = 5.0
+# Window, overage and tolerance of the limits of client accounts.
+LIMIT_WINDOW_S = 5.0
+LIMIT_OVERAGE = 0.1
+LIMIT_TOLERANCE = 20
+# Overage and tolerance of the rate limit of cold workers.
+COLD_OVERAGE = 1.5
+COLD_TOLERANCE = 8
+# Time after which no call reaches a worker in an evacuated zone.
+EVACUATE_S = 5.0
+# Requests per second that a cold worker tolerates. With a small rate, a few
+# nodes that ignore the limit exceed the bound.
+COLD_CALLS_PER_S = 1.0
 
 # Longer than `DRAIN_S`, within which calls may reach a draining worker.
 _WORKER_DRAIN_S = 4.0
@@ -59,8 +75,30 @@
 )
 
 
-def manifest(version: int, limits: wire.Limits = _LIMITS) -> bytes:
-    """Returns an encoded manifest of `ROUTES` and the version's own route."""
+# Settings of the edges that take effect with client accounts, cold workers and
+# evacuated zones only.
+_ACCOUNT_BOUNDS = f"""
+strict_revoke = true
+revoke_s = {REVOKE_S}
+quota_window_s = {LIMIT_WINDOW_S}
+quota_overage = {LIMIT_OVERAGE}
+quota_tolerance = {LIMIT_TOLERANCE}
+cold_overage = {COLD_OVERAGE}
+cold_tolerance = {COLD_TOLERANCE}
+evacuate_s = {EVACUATE_S}
+"""
+
+
+def manifest(
+    version: int,
+    limits: wire.Limits = _LIMITS,
+    tenants: Mapping[str, wire.Tenant] | None = None,
+) -> bytes:
+    """Returns an encoded manifest of `ROUTES` and the version's own route.
+
+    With tenants, all routes but the version's own need a key, and the services
+    have a rate limit for cold workers.
+    """
     routed_prefixes = {
         prefix: (route[0], route[1]) for prefix, route in ROUTES.items()
     }
@@ -77,16 +115,21 @@
                     target_latency_s=1.0,
                     max_attempts=3,
                     service=service,
+                    public=prefix not in ROUTES,
                 )
                 for index, (prefix, (service, kind)) in enumerate(
                     routed_prefixes.items()
                 )
             },
             services={
-                service: wire.Service(health_path=routed_worker.HEALTH_PATH)
+                service: wire.Service(
+                    health_path=routed_worker.HEALTH_PATH,
+                    cold_per_s=0.0 if tenants is None else COLD_CALLS_PER_S,
+                )
                 for service, _, _ in ROUTES.values()
             },
             limits=limits,
+            tenants=tenants,
         )
     )
 
@@ -176,6 +219,7 @@
         store_port: int,
         memory_mb: int = 0,
         max_descriptors: int = 0,
+        account_bounds: bool = False,
     ) -> None:
         """Writes the settings of an edge and starts it.
 
@@ -184,6 +228,8 @@
             store_port: loopback port at which it reaches the store.
             memory_mb: memory of the process, 0 if the settings name none.
             max_descriptors: its file descriptors, 0 if the settings name none.
+            account_bounds: whether the settings have the bounds of client
+                accounts, cold workers and evacuated zones.
         """
         path = self.settings_path(node.name)
         last_port = node.peers_port + _EXTRA_INTERNAL_PORTS
@@ -209,6 +255,7 @@
 retry_budget_extra = 50
 budget_window_s = 10
 probes_per_s = 60
+{_ACCOUNT_BOUNDS if account_bounds else ""}
 [platform]
 address = "127.0.0.1:{store_port}"
 """
@@ -227,6 +274,7 @@
         zone: str,
         port: int,
         advertised_port: int,
+        cold_start_s: float = 0.0,
     ) -> None:
         """Starts a worker and waits until it listens.
 
@@ -237,6 +285,7 @@
             port: port at which it listens.
             advertised_port: port in its entry in the store; differs from
                 `port` if calls pass through a link.
+            cold_start_s: time for which it is cold after each start.
         """
         service, _, work_ms = ROUTES[prefix]
         self._start_standin(
@@ -251,6 +300,7 @@
                 "run_log": str(self.run_log_path(name)),
                 "work_ms": work_ms,
                 "drain_s": _WORKER_DRAIN_S,
+                "cold_start_s": cold_start_s,
             },
         )
         self._control_ports[name] = port
@@ -262,12 +312,28 @@
 
     def run_log_entries(self) -> list[dict[str, Any]]:
         """Returns the run log entries of all workers, worker by worker."""
+        return self._log_entries("*.runs")
+
+    def refusal_log_entries(self) -> list[dict[str, Any]]:
+        """Returns what all workers logged of requests that they refused."""
+        return self._log_entries("*.refusals")
+
+    def _log_entries(self, pattern: str) -> list[dict[str, Any]]:
         return [
             json.loads(line) | {"worker": path.stem}
-            for path in sorted(self._directory.glob("*.runs"))
+            for path in sorted(self._directory.glob(pattern))
             for line in path.read_text().splitlines()
         ]
 
+    def logs_with(self, texts: Collection[str]) -> list[str]:
+        """Returns the names of the edges whose logs hold any of the texts."""
+        names = []
+        for name in self.nodes:
+            log = (self._directory / f"{name}.log").read_text()
+            if any(text in log for text in texts):
+                names.append(name)
+        return names
+
     def kill(self, name: str) -> None:
         """Sends SIGKILL to a process and waits until it has ended."""
         self.process_changed_at[name] = time.monotonic()
@@ -287,17 +353,42 @@
         await self._send_control("PUT", "store", "/control/compaction", {})
 
     async def apply_manifest(
-        self, version: int, limits: wire.Limits = _LIMITS
+        self,
+        version: int,
+        limits: wire.Limits = _LIMITS,
+        tenants: Mapping[str, wire.Tenant] | None = None,
     ) -> float:
         """Writes a manifest; returns the monotonic time of its confirmation."""
         row = wire.TransactionRow(
             table=wire.CONFIG_TABLE,
             key=wire.CONFIG_KEY,
-            value=manifest(version, limits),
+            value=manifest(version, limits, tenants),
         )
-        message = msgspec.to_builtins(wire.Transaction(set_keys=(row,)))
+        return await self._transact(wire.Transaction(set_keys=(row,)))
+
+    async def set_evacuated(self, zone: str, *, evacuated: bool) -> float:
+        """Evacuates a zone or returns it to service.
+
+        Returns:
+            The monotonic time of the store's confirmation.
+        """
+        row = wire.TransactionRow(
+            table=wire.CONFIG_TABLE,
+            key=f"{wire.EVACUATION_PREFIX}{zone}",
+            value=b"{}",
+        )
+        return await self._transact(
+            wire.Transaction(set_keys=(row,))
+            if evacuated
+            else wire.Transaction(remove=(row,))
+        )
+
+    async def _transact(self, transaction: wire.Transaction) -> float:
         await self._send_control(
-            "POST", "store", "/control/transactions", message
+            "POST",
+            "store",
+            "/control/transactions",
+            msgspec.to_builtins(transaction),
         )
         return time.monotonic()
 
--- a/tanagerspoke/standins/routed_worker.py
+++ b/tanagerspoke/standins/routed_worker.py
@@ -5,6 +5,7 @@
 import hashlib
 import json
 import logging
+import pathlib
 import random
 import time
 from typing import Annotated, Any
@@ -38,13 +39,15 @@
 ):
     """Simulated faults of a worker.
 
-    Except for `slow_factor`, each value is the share of requests with the
-    fault.
+    Except for `slow_factor` and `pause_s`, each value is the share of requests
+    with the fault.
 
     Attributes:
         slow_factor: factor on the work time.
         unhealthy: the health request gets 503.
         shed: the request is refused and not run.
+        pause_s: pause that the refusal of such a request asks for, in seconds;
+            0 for none.
         lost: the request is run, then the connection is reset without a
             response.
         truncated: the request is run, then the connection closes before the
@@ -59,6 +62,7 @@
     slow_factor: float = 1.0
     unhealthy: _Share = 0.0
     shed: _Share = 0.0
+    pause_s: Annotated[float, msgspec.Meta(ge=0, le=300)] = 0.0
     lost: _Share = 0.0
     truncated: _Share = 0.0
     doubled: _Share = 0.0
@@ -89,6 +93,11 @@
     return hashlib.sha256(body).hexdigest()[:16]
 
 
+def refusal_log_path(run_log: pathlib.Path) -> pathlib.Path:
+    """Returns the path of the log of refused requests beside a run log."""
+    return run_log.with_suffix(".refusals")
+
+
 class RoutedWorkerStandin:
     """HTTP server of one worker, which registers in the metadata store."""
 
@@ -147,7 +156,7 @@
         else:
             accepted = await self._send_heartbeat()
         if accepted:
-            self._append_to_run_log({"event": "leaving"})
+            self._append_to_log(self._cfg.run_log, {"event": "leaving"})
             await asyncio.sleep(self._cfg.drain_s)
         await self._transact(wire.Transaction(remove=(self._entry_row(),)))
         if self._session is not None:
@@ -267,9 +276,7 @@
             self._slots.locked() and self._waiting >= self._cfg.queue_length
         )
         if queue_full or self._fault_occurs(self._faults.shed):
-            shed_headers = echoed_headers | {headers.NOT_RUN: "1"}
-            shed_headers |= self._usual_headers()
-            return web.Response(status=503, headers=shed_headers)
+            return self._refuse(req, echoed_headers, arrived_at)
         self._waiting += 1
         try:
             await self._slots.acquire()
@@ -286,6 +293,27 @@
             req, echoed_headers, request_id, request_body
         )
 
+    def _refuse(
+        self,
+        req: web.Request,
+        echoed_headers: dict[str, str],
+        arrived_at: float,
+    ) -> web.Response:
+        pause_s = self._faults.pause_s
+        refusal = {
+            "event": "refused",
+            "id": echoed_headers[headers.REQUEST_ID],
+            "arrived_at": arrived_at,
+            "cold": arrived_at < self._cold_until,
+            "pause_s": pause_s,
+        }
+        self._append_to_log(refusal_log_path(self._cfg.run_log), refusal)
+        shed_headers = echoed_headers | {headers.NOT_RUN: "1"}
+        shed_headers |= self._usual_headers()
+        if pause_s:
+            shed_headers["Retry-After"] = f"{pause_s:.3f}"
+        return web.Response(status=503, headers=shed_headers)
+
     async def _work(self) -> None:
         work_s = self._rng.expovariate(1000 / self._cfg.work_ms)
         if self._cold_left_s > 0.0:
@@ -299,7 +327,8 @@
         request_body: bytes,
         arrived_at: float,
     ) -> None:
-        self._append_to_run_log(
+        self._append_to_log(
+            self._cfg.run_log,
             {
                 "event": "run",
                 "id": request_id,
@@ -307,11 +336,14 @@
                 "path": req.raw_path,
                 "body": digest(request_body),
                 "arrived_at": arrived_at,
-            }
+                "cold": arrived_at < self._cold_until,
+                "account": req.headers.get(headers.CLIENT_ACCOUNT, ""),
+                "has_key": headers.API_KEY in req.headers,
+            },
         )
 
-    def _append_to_run_log(self, event: dict[str, Any]) -> None:
-        """Appends to the run log, which survives a kill of the process.
+    def _append_to_log(self, path: pathlib.Path, event: dict[str, Any]) -> None:
+        """Appends to a log, which survives a kill of the process.
 
         `at` is comparable between processes, since the processes of one
         machine share the monotonic clock.
@@ -320,7 +352,7 @@
             "born_ms": self._started_at_ms,
             "at": time.monotonic(),
         }
-        with self._cfg.run_log.open("a") as file:
+        with path.open("a") as file:
             file.write(json.dumps(record) + "\n")
 
     async def _send_response(
--- a/tests/standins/test_routed_worker.py
+++ b/tests/standins/test_routed_worker.py
@@ -127,6 +127,21 @@
     assert not stand_ins.cfg.run_log.exists()
 
 
+async def test_refusal_with_a_pause_is_logged(
+    stand_ins: _StoreAndWorker,
+) -> None:
+    """Guards against pauses that the soak test cannot check."""
+    async with stand_ins.session.put(
+        "/control/faults", json={"shed": 1.0, "pause_s": 1.5}
+    ):
+        pass
+    async with stand_ins.session.get("/x", headers=_HEADERS) as resp:
+        assert resp.headers["Retry-After"] == "1.500"
+    path = routed_worker.refusal_log_path(stand_ins.cfg.run_log)
+    refusal = json.loads(path.read_text())
+    assert (refusal["id"], refusal["pause_s"]) == ("q1", 1.5)
+
+
 @pytest.mark.parametrize("fault", ["lost", "truncated"])
 async def test_requests_with_lost_responses_have_run(
     stand_ins: _StoreAndWorker, fault: str
