Check accounts, limits, zones, cold workers and pauses in the edge soak

Cause: the soak knew no keys, limits, revocations, evacuations, cold workers, uploads or pauses. Ruled out: a check of limits by the edges' own counters, which would not be independent; the workers' logs are used. Requests that a stalled link or a frozen worker holds up count from the start of the delay. Change: accounts with keys and limits that change with the manifest, revocations while one edge is cut off from the store, evacuations, workers that are cold after a start, uploads, pauses; bench/edge_soak_bounds.py checks the bounds. --no-accounts runs the soak as before.

--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -9,7 +9,9 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import contextlib
+import math
 import pathlib
 import random
 import shutil
@@ -22,6 +24,8 @@
 import cyclopts
 
 from bench import edge_fleet
+from bench import edge_soak_accounts
+from bench import edge_soak_bounds
 from bench import edge_soak_callers
 from bench import edge_soak_checks
 from bench import edge_soak_faults
@@ -32,6 +36,8 @@
 _MIN_CONFIG_INTERVAL_S = 0.3
 _MAX_CONFIG_INTERVAL_S = 3.0
 _PROBE_INTERVAL_S = 0.2
+# Times for which workers are cold after a start.
+_COLD_START_DURATIONS_S = (0.0, 5.0, 10.0)
 _LINK_CLOSE_WAIT_S = 0.2
 
 
@@ -41,7 +47,9 @@
     Attributes:
         counts: numbers of calls, of manifest changes and of faults; calls are
             also counted by status or, without a response, as `left` if the
-            caller disconnects early, otherwise as `lost`.
+            caller disconnects early, otherwise as `lost`. With accounts, also
+            of evacuations, revoked keys, requests to cold workers and requests
+            for a pause.
     """
 
     def __init__(
@@ -52,8 +60,14 @@
         nodes: int,
         workers: int,
         planned_only: bool,
+        accounts: bool = True,
     ) -> None:
         self._seed = seed
+        self._accounts = (
+            edge_soak_accounts.Accounts(seed=seed) if accounts else None
+        )
+        self._manifest_lock = asyncio.Lock()
+        self._worker_zones: dict[str, str] = {}
         self._node_count = nodes
         self._worker_count = workers
         self._planned_only = planned_only
@@ -61,6 +75,7 @@
         self._checks = edge_soak_checks.Checks(
             planned_only=planned_only,
             process_changed_at=self._fleet.process_changed_at,
+            accounts=self._accounts,
         )
         self._links: dict[str, tcp_link.TcpLink] = {}
         self._exit_stack = contextlib.AsyncExitStack()
@@ -72,6 +87,7 @@
             checks=self._checks,
             links=self._links,
             counts=self.counts,
+            accounts=self._accounts,
         )
 
     @property
@@ -92,13 +108,20 @@
     async def _add_worker(self, number: int) -> None:
         prefixes = tuple(edge_fleet.ROUTES)
         name = f"worker-{number + 1}"
+        self._worker_zones[name] = edge_fleet.ZONES[number % 3]
+        rng = random.Random(f"{self._seed}-{name}")
         port = stacks.free_port()
         await self._fleet.start_worker(
             name,
             prefixes[number % len(prefixes)],
-            zone=edge_fleet.ZONES[number // len(prefixes) % 3],
+            zone=self._worker_zones[name],
             port=port,
             advertised_port=await self._add_link(f"to-{name}", port),
+            cold_start_s=(
+                0.0
+                if self._accounts is None
+                else rng.choice(_COLD_START_DURATIONS_S)
+            ),
         )
 
     async def _add_edge(self, number: int) -> None:
@@ -110,7 +133,11 @@
         await self._add_link(
             f"callers-{name}", node.callers_port, address=node.address
         )
-        self._fleet.start_edge(node, store_port=store_port)
+        self._fleet.start_edge(
+            node,
+            store_port=store_port,
+            account_bounds=self._accounts is not None,
+        )
 
     async def close(self) -> None:
         """Ends all processes, then the links between them."""
@@ -128,22 +155,29 @@
 
     async def run(self, *, seconds: float) -> None:
         """Runs load and faults, then checks recovery and the run logs."""
-        links = sorted(self._links)
+        targets = edge_soak_faults.Targets(
+            edges=tuple(self._fleet.nodes),
+            workers=tuple(self._worker_zones),
+            links=tuple(sorted(self._links)),
+        )
         schedules = edge_soak_faults.draw_schedules(
             seed=self._seed,
             seconds=seconds,
-            targets=edge_soak_faults.Targets(
-                edges=tuple(self._fleet.nodes),
-                workers=tuple(
-                    f"worker-{n + 1}" for n in range(self._worker_count)
-                ),
-                links=tuple(links),
-            ),
+            targets=targets,
             planned_only=self._planned_only,
         )
         injector = edge_soak_faults.EdgeFaultInjector(
-            fleet=self._fleet, links=self._links
+            fleet=self._fleet,
+            links=self._links,
+            revoke_key=self._apply_revocation,
         )
+        if self._accounts is not None:
+            schedules += edge_soak_faults.draw_operations(
+                seed=self._seed,
+                seconds=seconds,
+                targets=targets,
+                planned_only=self._planned_only,
+            )
         end_at = time.monotonic() + seconds
         async with asyncio.TaskGroup() as tasks:
             for schedule in schedules:
@@ -155,6 +189,37 @@
         self.counts["faults"] = injector.injected
         await self._check_recovery()
         self._checks.check_runs(self._fleet.run_log_entries())
+        if self._accounts is not None:
+            self._check_bounds(self._accounts, injector)
+
+    def _check_bounds(
+        self,
+        accounts: edge_soak_accounts.Accounts,
+        injector: edge_soak_faults.EdgeFaultInjector,
+    ) -> None:
+        self.counts["evacuations"] = len(injector.evacuations)
+        self.counts["revocations"] = sum(
+            key.revoked_at < math.inf for key in accounts.keys.values()
+        )
+        runs = self._fleet.run_log_entries()
+        refusals = self._fleet.refusal_log_entries()
+        self.counts["cold"] = sum(
+            log_entry.get("cold", False) for log_entry in (*runs, *refusals)
+        )
+        self.counts["pauses"] = sum(
+            log_entry["pause_s"] > 0 for log_entry in refusals
+        )
+        edge_soak_bounds.BoundChecks(
+            accounts=accounts,
+            worker_zones=self._worker_zones,
+            evacuations=injector.evacuations,
+            delays=injector.delays,
+            process_changed_at=self._fleet.process_changed_at,
+            planned_only=self._planned_only,
+            add_violation=self._checks.add_violation,
+        ).check(calls=self._checks.calls, runs=runs, refusals=refusals)
+        for name in self._fleet.logs_with(accounts.keys):
+            self._checks.add_violation(f"KEY: the log of {name} has a key")
 
     async def _check_recovery(self) -> None:
         try:
@@ -197,14 +262,30 @@
             await asyncio.sleep(
                 rng.uniform(_MIN_CONFIG_INTERVAL_S, _MAX_CONFIG_INTERVAL_S)
             )
-            await self._apply_next_manifest()
+            accounts = self._accounts
+            await self._apply_next_manifest(accounts and accounts.change)
+
+    async def _apply_revocation(self) -> None:
+        assert self._accounts is not None
+        await self._apply_next_manifest(self._accounts.revoke)
 
-    async def _apply_next_manifest(self) -> None:
-        version = self._version + 1
-        confirmed_at = await self._fleet.apply_manifest(version)
-        self._version = version
-        self._checks.add_confirmed_version(version, confirmed_at)
-        self.counts["changes"] += 1
+    async def _apply_next_manifest(
+        self, change: Callable[[], None] | None = None
+    ) -> None:
+        # The confirmation of a manifest must not confirm a later change.
+        async with self._manifest_lock:
+            if change is not None:
+                change()
+            version = self._version + 1
+            accounts = self._accounts
+            confirmed_at = await self._fleet.apply_manifest(
+                version, tenants=accounts and accounts.tenants()
+            )
+            if accounts is not None:
+                accounts.confirm(confirmed_at)
+            self._version = version
+            self._checks.add_confirmed_version(version, confirmed_at)
+            self.counts["changes"] += 1
 
     async def _probe_versions(
         self, node: edge_fleet.Node, end_at: float
@@ -258,8 +339,9 @@
     seeds: int = 1,
     seconds: float = 20.0,
     nodes: int = 5,
-    workers: int = 9,
+    workers: int = 10,
     planned_only: bool = False,
+    accounts: bool = True,
 ) -> int:
     """Runs edges under random faults; returns the number of failed seeds.
 
@@ -271,6 +353,8 @@
         workers: number of workers of all services together.
         planned_only: whether only planned operations happen, during which no
             call may be lost.
+        accounts: whether there are client accounts, cold workers and
+            evacuations.
     """
     return sum(
         asyncio.run(
@@ -280,6 +364,7 @@
                 nodes=nodes,
                 workers=workers,
                 planned_only=planned_only,
+                accounts=accounts,
             )
         )
         for run_seed in range(seed, seed + seeds)
--- a/bench/edge_soak_callers.py
+++ b/bench/edge_soak_callers.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from bench import edge_fleet
+from bench import edge_soak_accounts
 from bench import edge_soak_checks
 from tanagerspoke.platform import headers
 from tests import tcp_link
@@ -20,13 +21,21 @@
 _DEADLINES_MS = (500, 1500, 5000)
 # Relative numbers of calls by path prefix. Calls that last long are rare, so
 # that they don't occupy all callers.
-_CALL_WEIGHTS = {"/read/": 10, "/write/": 10, "/pull/": 10, "/export/": 1}
-_MAX_BODY_BYTES = 3000
+_CALL_WEIGHTS = {
+    "/read/": 10,
+    "/write/": 10,
+    "/pull/": 10,
+    "/export/": 1,
+    "/upload/": 4,
+}
+# Maximum sizes of bodies; requests of other routes have none.
+_MAX_BODY_BYTES = {"/write/": 3000, "/upload/": 60_000}
 # Share of calls whose caller disconnects early, and the latest time for it.
 _DISCONNECT_SHARE = 0.05
 _MAX_DISCONNECT_DELAY_S = 0.1
 # A caller closes its connection this long after the deadline of its call.
 _TIMEOUT_MARGIN_S = 2.0
+_FORGED_ACCOUNT = "forged"
 _READINESS_INTERVAL_S = 0.3
 # Failed readiness checks in a row after which callers avoid a node.
 _MIN_FAILED_READINESS_CHECKS = 2
@@ -56,11 +65,13 @@
         checks: edge_soak_checks.Checks,
         links: Mapping[str, tcp_link.TcpLink],
         counts: collections.Counter[str],
+        accounts: edge_soak_accounts.Accounts | None,
     ) -> None:
         self._seed = seed
         self._fleet = fleet
         self._checks = checks
         self._links = links
+        self._accounts = accounts
         self._call_numbers = itertools.count(1)
         self._failed_readiness_checks: collections.Counter[str] = (
             collections.Counter()
@@ -105,12 +116,12 @@
         (prefix,) = rng.choices(
             tuple(_CALL_WEIGHTS), weights=tuple(_CALL_WEIGHTS.values())
         )
-        body = b""
-        if prefix == "/write/":
-            body = rng.randbytes(rng.randrange(_MAX_BODY_BYTES))
+        body = rng.randbytes(rng.randrange(_MAX_BODY_BYTES.get(prefix, 1)))
         call = self.add_call(
             caller.node, prefix, body, rng.choice(_DEADLINES_MS)
         )
+        if self._accounts is not None:
+            call.key = self._accounts.draw_key(rng)
         disconnect_after_s = None
         if rng.random() < _DISCONNECT_SHARE:
             disconnect_after_s = rng.uniform(0.0, _MAX_DISCONNECT_DELAY_S)
@@ -137,16 +148,20 @@
     def add_call(
         self, node: edge_fleet.Node, prefix: str, body: bytes, deadline_ms: int
     ) -> edge_soak_checks.CallRecord:
-        """Returns the record of a new call, which is not sent yet."""
+        """Returns the record of a new call, which is not sent yet.
+
+        Its key, if there are accounts, is one that is never revoked.
+        """
         number = next(self._call_numbers)
         call = edge_soak_checks.CallRecord(
             request_id=f"{self._seed}-{number}",
             node=node.name,
-            method="POST" if prefix == "/write/" else "GET",
+            method="POST" if prefix in _MAX_BODY_BYTES else "GET",
             path=f"{prefix}{number}?n={number}",
             body=body,
             deadline_ms=deadline_ms,
             sent_at=time.monotonic(),
+            key=self._accounts and self._accounts.steady_key,
         )
         self._checks.add_call(call)
         return call
@@ -165,6 +180,11 @@
             headers.REQUEST_ID: call.request_id,
             headers.DEADLINE_MS: str(call.deadline_ms),
         }
+        if self._accounts is not None:
+            # Edges must replace the account that a caller names.
+            request_headers[headers.CLIENT_ACCOUNT] = _FORGED_ACCOUNT
+        if call.key is not None:
+            request_headers[headers.API_KEY] = call.key
         call.disconnects_early = disconnect_after_s is not None
         timeout_s = call.deadline_ms / 1000 + _TIMEOUT_MARGIN_S
         try:
--- a/bench/edge_soak_checks.py
+++ b/bench/edge_soak_checks.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from bench import edge_fleet
+from bench import edge_soak_accounts
 from tanagerspoke.platform import headers
 from tanagerspoke.standins import routed_worker
 
@@ -32,6 +33,7 @@
         status: status of a complete response, otherwise None.
         disconnects_early: whether the caller disconnects early, unless it gets
             a response first.
+        key: API key of the request, None if it has none.
     """
 
     request_id: str
@@ -44,18 +46,33 @@
     ended_at: float = 0.0
     status: int | None = None
     disconnects_early: bool = False
+    key: str | None = None
 
     @property
     def is_write(self) -> bool:
         """Whether the request may run at most once."""
         return self.method == "POST"
 
+    @property
+    def is_public(self) -> bool:
+        """Whether the route needs no key."""
+        return not self.path.startswith(tuple(edge_fleet.ROUTES))
+
 
 class Checks:
-    """Collects violations of the edge's guarantees."""
+    """Collects violations of the edge's guarantees.
+
+    Attributes:
+        violations: descriptions of the violations.
+        calls: all calls by request id.
+    """
 
     def __init__(
-        self, *, planned_only: bool, process_changed_at: Mapping[str, float]
+        self,
+        *,
+        planned_only: bool,
+        process_changed_at: Mapping[str, float],
+        accounts: edge_soak_accounts.Accounts | None = None,
     ) -> None:
         """Creates the checks of one run.
 
@@ -64,11 +81,13 @@
                 no call may be lost.
             process_changed_at: monotonic time at which each process was last
                 started or killed.
+            accounts: client accounts, None if there are none.
         """
+        self._accounts = accounts
         self.violations: list[str] = []
         self._planned_only = planned_only
         self._process_changed_at = process_changed_at
-        self._calls: dict[str, CallRecord] = {}
+        self.calls: dict[str, CallRecord] = {}
         # By node and worker process: when a notice that the worker leaves was
         # first passed on.
         self._notices: dict[tuple[str, str], float] = {}
@@ -82,7 +101,7 @@
 
     def add_call(self, call: CallRecord) -> None:
         """Adds a request before it is sent."""
-        self._calls[call.request_id] = call
+        self.calls[call.request_id] = call
 
     def add_confirmed_version(self, version: int, at: float) -> None:
         """Adds a manifest version with the time of the store's confirmation."""
@@ -110,12 +129,51 @@
             self.add_violation(
                 f"MIXED: {context}: {call.status} has a signature"
             )
-        if call.status in (400, 401, 403, 413, 431):
+        if call.status in (400, 403, 413, 431):
             self.add_violation(f"DENIED: {context}: {call.status}")
+        self.check_key_status(call)
         if headers.LEAVING in response_headers:
             process = response_headers[routed_worker.PROCESS_HEADER]
             self._notices.setdefault((call.node, process), time.monotonic())
 
+    def check_key_status(self, call: CallRecord) -> None:
+        """Checks that exactly the calls without a valid key get 401."""
+        context = f"{call.request_id} {call.path} at {call.node}"
+        if self._accounts is None or call.is_public:
+            if call.status == 401:
+                self.add_violation(f"DENIED: {context}: 401")
+            return
+        key = self._accounts.keys.get(call.key or "")
+        if key is None:
+            # 503: the node does not know whether the key is new.
+            if call.status not in (401, 503):
+                self.add_violation(f"UNKNOWN: {context}: {call.status}")
+        elif call.status == 401 and self._must_be_accepted(call, key):
+            self.add_violation(f"DENIED: {context}: 401")
+        elif (
+            call.status == 429
+            and not self._accounts.limits[key.account][-1].calls_per_s
+        ):
+            self.add_violation(f"LIMIT: {context}: 429 without a limit")
+
+    def _must_be_accepted(
+        self, call: CallRecord, key: edge_soak_accounts.Key
+    ) -> bool:
+        """Returns whether no node may answer that the key is unknown.
+
+        A node without a proof that its manifest was the newest one within
+        `REVOKE_S` answers 503 instead.
+        """
+        known_by = key.added_at + edge_fleet.REVOKE_S
+        if self._planned_only:
+            known_by = max(
+                key.added_at + edge_fleet.CONFIG_APPLY_S,
+                self._process_changed_at[call.node] + _STARTUP_GRACE_S,
+            )
+        return call.sent_at > known_by and time.monotonic() < (
+            key.removal_sent_at
+        )
+
     def check_version(self, call: CallRecord, version: int) -> None:
         """Checks a finished call to a route that only one version has."""
         process_changed_at = self._process_changed_at[call.node]
@@ -171,7 +229,7 @@
         for log_entry in runs:
             self._check_run(log_entry)
             self._check_notice(log_entry)
-        for call in self._calls.values():
+        for call in self.calls.values():
             run_count = counts[call.request_id]
             if call.is_write and run_count > 1:
                 self.add_violation(
@@ -187,7 +245,7 @@
             self._check_drains(log_entries)
 
     def _check_run(self, log_entry: dict[str, Any]) -> None:
-        call = self._calls.get(log_entry["id"])
+        call = self.calls.get(log_entry["id"])
         if call is None:
             self.add_violation(f"UNASKED: {log_entry['id']} was never sent")
             return
@@ -207,7 +265,7 @@
 
     def _check_notice(self, log_entry: dict[str, Any]) -> None:
         """Checks that a node that passed on a notice sends no more calls."""
-        call = self._calls.get(log_entry["id"])
+        call = self.calls.get(log_entry["id"])
         if call is None:
             return
         process = f"{log_entry['worker']}/{log_entry['born_ms']}"
--- a/tests/bench/test_edge_soak.py
+++ b/tests/bench/test_edge_soak.py
@@ -9,6 +9,7 @@
 from bench import edge_soak
 from bench import edge_soak_checks
 from bench import edge_soak_faults
+from bench import soak_faults
 from tanagerspoke.platform import headers
 from tanagerspoke.standins import routed_worker
 
@@ -50,6 +51,31 @@
     }
 
 
+def test_operations_contain_every_kind() -> None:
+    """Guards against operations that are never drawn, or not planned ones."""
+    kinds = {}
+    for planned_only in (False, True):
+        schedules = edge_soak_faults.draw_operations(
+            seed=1, seconds=300.0, targets=_TARGETS, planned_only=planned_only
+        )
+        kinds[planned_only] = {
+            type(scheduled.fault)
+            for schedule in schedules
+            for scheduled in schedule
+        }
+    assert kinds[False] == {
+        edge_soak_faults.Evacuation,
+        edge_soak_faults.Restart,
+        edge_soak_faults.Revocation,
+        soak_faults.Kill,
+        soak_faults.StandinFault,
+    }
+    assert kinds[True] == {
+        edge_soak_faults.Evacuation,
+        edge_soak_faults.Restart,
+    }
+
+
 def _checks(*, planned_only: bool = True) -> edge_soak_checks.Checks:
     return edge_soak_checks.Checks(
         planned_only=planned_only, process_changed_at={"edge-1": 0.0}
@@ -187,9 +213,10 @@
     ]
 
 
+@pytest.mark.parametrize("accounts", [False, True])
 @pytest.mark.parametrize("planned_only", [True, False])
 def test_short_run_has_no_violation(
-    tmp_path: pathlib.Path, planned_only: bool
+    tmp_path: pathlib.Path, planned_only: bool, accounts: bool
 ) -> None:
     """Guards against broken guarantees of edges under a few seconds of faults.
 
@@ -204,6 +231,7 @@
             nodes=3,
             workers=6,
             planned_only=planned_only,
+            accounts=accounts,
         )
         try:
             await soak_run.start()
