Count only evacuations that outlast their bound in the edge soak

Cause: an evacuation near the end of a run is shorter than evacuate_s, so the count said more than what was checked. Change: the count; the checks are the same.

--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -48,8 +48,8 @@
         counts: numbers of calls, of manifest changes and of faults; calls are
             also counted by status or, without a response, as `left` if the
             caller disconnects early, otherwise as `lost`. With accounts, also
-            of evacuations, revoked keys, requests to cold workers and requests
-            for a pause.
+            of evacuations that outlast their bound, revoked keys, requests to
+            cold workers and requests for a pause.
     """
 
     def __init__(
@@ -197,7 +197,11 @@
         accounts: edge_soak_accounts.Accounts,
         injector: edge_soak_faults.EdgeFaultInjector,
     ) -> None:
-        self.counts["evacuations"] = len(injector.evacuations)
+        self.counts["evacuations"] = sum(
+            evacuation.removal_sent_at - evacuation.confirmed_at
+            > edge_fleet.EVACUATE_S
+            for evacuation in injector.evacuations
+        )
         self.counts["revocations"] = sum(
             key.revoked_at < math.inf for key in accounts.keys.values()
         )
