--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 soak: install
 	$(PY) -m bench.soak
 	$(PY) -m bench.edge_soak --seeds 3
+	$(PY) -m bench.edge_soak --seeds 3 --no-accounts
 	$(PY) -m bench.edge_soak --seeds 3 --planned-only
 
 clean:
