--- a/bench/edge_soak.py
+++ b/bench/edge_soak.py
@@ -9,9 +9,9 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import contextlib
-import dataclasses
-import itertools
+import math
 import pathlib
 import random
 import shutil
@@ -24,50 +24,32 @@
 import cyclopts
 
 from bench import edge_fleet
+from bench import edge_soak_accounts
+from bench import edge_soak_bounds
+from bench import edge_soak_callers
 from bench import edge_soak_checks
 from bench import edge_soak_faults
 from bench import soak
-from tanagerspoke.platform import headers
 from tests import stack as stacks
 from tests import tcp_link
 
-_CALLER_COUNT = 24
-_MAX_CALL_PAUSE_S = 0.15
-_DEADLINES_MS = (500, 1500, 5000)
-# Relative numbers of calls by path prefix. Calls that last long are rare, so
-# that they don't occupy all callers.
-_CALL_WEIGHTS = {"/read/": 10, "/write/": 10, "/pull/": 10, "/export/": 1}
-_MAX_BODY_BYTES = 3000
-# Share of calls whose caller disconnects early, and the latest time for it.
-_DISCONNECT_SHARE = 0.05
-_MAX_DISCONNECT_DELAY_S = 0.1
-# A caller closes its connection this long after the deadline of its call.
-_TIMEOUT_MARGIN_S = 2.0
-_READINESS_INTERVAL_S = 0.3
-# Failed readiness checks in a row after which callers avoid a node.
-_MIN_FAILED_READINESS_CHECKS = 2
 _MIN_CONFIG_INTERVAL_S = 0.3
 _MAX_CONFIG_INTERVAL_S = 3.0
 _PROBE_INTERVAL_S = 0.2
+# Times for which workers are cold after a start.
+_COLD_START_DURATIONS_S = (0.0, 5.0, 10.0)
 _LINK_CLOSE_WAIT_S = 0.2
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Caller:
-    """A caller with at most one connection, which is to `node`."""
-
-    rng: random.Random
-    session: aiohttp.ClientSession | None = None
-    node: edge_fleet.Node | None = None
-
-
 class EdgeSoak:
     """One run: processes, load, faults and checks.
 
     Attributes:
         counts: numbers of calls, of manifest changes and of faults; calls are
             also counted by status or, without a response, as `left` if the
-            caller disconnects early, otherwise as `lost`.
+            caller disconnects early, otherwise as `lost`. With accounts, also
+            of evacuations that outlast their bound, revoked keys, requests to
+            cold workers and requests for a pause.
     """
 
     def __init__(
@@ -78,8 +60,14 @@
         nodes: int,
         workers: int,
         planned_only: bool,
+        accounts: bool = True,
     ) -> None:
         self._seed = seed
+        self._accounts = (
+            edge_soak_accounts.Accounts(seed=seed) if accounts else None
+        )
+        self._manifest_lock = asyncio.Lock()
+        self._worker_zones: dict[str, str] = {}
         self._node_count = nodes
         self._worker_count = workers
         self._planned_only = planned_only
@@ -87,15 +75,20 @@
         self._checks = edge_soak_checks.Checks(
             planned_only=planned_only,
             process_changed_at=self._fleet.process_changed_at,
+            accounts=self._accounts,
         )
         self._links: dict[str, tcp_link.TcpLink] = {}
         self._exit_stack = contextlib.AsyncExitStack()
-        self._call_numbers = itertools.count(1)
         self._version = 0
-        self._failed_readiness_checks: collections.Counter[str] = (
-            collections.Counter()
-        )
         self.counts: collections.Counter[str] = collections.Counter()
+        self._callers = edge_soak_callers.Callers(
+            seed=seed,
+            fleet=self._fleet,
+            checks=self._checks,
+            links=self._links,
+            counts=self.counts,
+            accounts=self._accounts,
+        )
 
     @property
     def violations(self) -> list[str]:
@@ -115,13 +108,20 @@
     async def _add_worker(self, number: int) -> None:
         prefixes = tuple(edge_fleet.ROUTES)
         name = f"worker-{number + 1}"
+        self._worker_zones[name] = edge_fleet.ZONES[number % 3]
+        rng = random.Random(f"{self._seed}-{name}")
         port = stacks.free_port()
         await self._fleet.start_worker(
             name,
             prefixes[number % len(prefixes)],
-            zone=edge_fleet.ZONES[number // len(prefixes) % 3],
+            zone=self._worker_zones[name],
             port=port,
             advertised_port=await self._add_link(f"to-{name}", port),
+            cold_start_s=(
+                0.0
+                if self._accounts is None
+                else rng.choice(_COLD_START_DURATIONS_S)
+            ),
         )
 
     async def _add_edge(self, number: int) -> None:
@@ -133,7 +133,11 @@
         await self._add_link(
             f"callers-{name}", node.callers_port, address=node.address
         )
-        self._fleet.start_edge(node, store_port=store_port)
+        self._fleet.start_edge(
+            node,
+            store_port=store_port,
+            account_bounds=self._accounts is not None,
+        )
 
     async def close(self) -> None:
         """Ends all processes, then the links between them."""
@@ -151,36 +155,75 @@
 
     async def run(self, *, seconds: float) -> None:
         """Runs load and faults, then checks recovery and the run logs."""
-        links = sorted(self._links)
+        targets = edge_soak_faults.Targets(
+            edges=tuple(self._fleet.nodes),
+            workers=tuple(self._worker_zones),
+            links=tuple(sorted(self._links)),
+        )
         schedules = edge_soak_faults.draw_schedules(
             seed=self._seed,
             seconds=seconds,
-            targets=edge_soak_faults.Targets(
-                edges=tuple(self._fleet.nodes),
-                workers=tuple(
-                    f"worker-{n + 1}" for n in range(self._worker_count)
-                ),
-                links=tuple(links),
-            ),
+            targets=targets,
             planned_only=self._planned_only,
         )
         injector = edge_soak_faults.EdgeFaultInjector(
-            fleet=self._fleet, links=self._links
+            fleet=self._fleet,
+            links=self._links,
+            revoke_key=self._apply_revocation,
         )
+        if self._accounts is not None:
+            schedules += edge_soak_faults.draw_operations(
+                seed=self._seed,
+                seconds=seconds,
+                targets=targets,
+                planned_only=self._planned_only,
+            )
         end_at = time.monotonic() + seconds
         async with asyncio.TaskGroup() as tasks:
             for schedule in schedules:
                 tasks.create_task(injector.run(schedule))
             tasks.create_task(self._apply_manifests(end_at))
-            tasks.create_task(self._poll_readiness(end_at))
             for node in self._fleet.nodes.values():
                 tasks.create_task(self._probe_versions(node, end_at))
-            for number in range(_CALLER_COUNT):
-                rng = random.Random(f"{self._seed}-{number}")
-                tasks.create_task(self._run_caller(rng, end_at))
+            tasks.create_task(self._callers.run(end_at))
         self.counts["faults"] = injector.injected
         await self._check_recovery()
         self._checks.check_runs(self._fleet.run_log_entries())
+        if self._accounts is not None:
+            self._check_bounds(self._accounts, injector)
+
+    def _check_bounds(
+        self,
+        accounts: edge_soak_accounts.Accounts,
+        injector: edge_soak_faults.EdgeFaultInjector,
+    ) -> None:
+        self.counts["evacuations"] = sum(
+            evacuation.removal_sent_at - evacuation.confirmed_at
+            > edge_fleet.EVACUATE_S
+            for evacuation in injector.evacuations
+        )
+        self.counts["revocations"] = sum(
+            key.revoked_at < math.inf for key in accounts.keys.values()
+        )
+        runs = self._fleet.run_log_entries()
+        refusals = self._fleet.refusal_log_entries()
+        self.counts["cold"] = sum(
+            log_entry.get("cold", False) for log_entry in (*runs, *refusals)
+        )
+        self.counts["pauses"] = sum(
+            log_entry["pause_s"] > 0 for log_entry in refusals
+        )
+        edge_soak_bounds.BoundChecks(
+            accounts=accounts,
+            worker_zones=self._worker_zones,
+            evacuations=injector.evacuations,
+            delays=injector.delays,
+            process_changed_at=self._fleet.process_changed_at,
+            planned_only=self._planned_only,
+            add_violation=self._checks.add_violation,
+        ).check(calls=self._checks.calls, runs=runs, refusals=refusals)
+        for name in self._fleet.logs_with(accounts.keys):
+            self._checks.add_violation(f"KEY: the log of {name} has a key")
 
     async def _check_recovery(self) -> None:
         try:
@@ -209,8 +252,8 @@
             while pending and time.monotonic() < end_at:
                 for name, prefix in sorted(pending):
                     node = self._fleet.nodes[name]
-                    call = self._add_call(node, prefix, b"", 1500)
-                    await self._send(session, call)
+                    call = self._callers.add_call(node, prefix, b"", 1500)
+                    await self._callers.send(session, call)
                     if call.status == 200:
                         pending.discard((name, prefix))
                 await asyncio.sleep(_PROBE_INTERVAL_S)
@@ -223,24 +266,30 @@
             await asyncio.sleep(
                 rng.uniform(_MIN_CONFIG_INTERVAL_S, _MAX_CONFIG_INTERVAL_S)
             )
-            await self._apply_next_manifest()
+            accounts = self._accounts
+            await self._apply_next_manifest(accounts and accounts.change)
 
-    async def _apply_next_manifest(self) -> None:
-        version = self._version + 1
-        confirmed_at = await self._fleet.apply_manifest(version)
-        self._version = version
-        self._checks.add_confirmed_version(version, confirmed_at)
-        self.counts["changes"] += 1
+    async def _apply_revocation(self) -> None:
+        assert self._accounts is not None
+        await self._apply_next_manifest(self._accounts.revoke)
 
-    async def _poll_readiness(self, end_at: float) -> None:
-        """Counts failed readiness checks in a row, as a load balancer does."""
-        while time.monotonic() < end_at:
-            for node in self._fleet.nodes.values():
-                if await self._fleet.is_ready(node):
-                    self._failed_readiness_checks[node.name] = 0
-                else:
-                    self._failed_readiness_checks[node.name] += 1
-            await asyncio.sleep(_READINESS_INTERVAL_S)
+    async def _apply_next_manifest(
+        self, change: Callable[[], None] | None = None
+    ) -> None:
+        # The confirmation of a manifest must not confirm a later change.
+        async with self._manifest_lock:
+            if change is not None:
+                change()
+            version = self._version + 1
+            accounts = self._accounts
+            confirmed_at = await self._fleet.apply_manifest(
+                version, tenants=accounts and accounts.tenants()
+            )
+            if accounts is not None:
+                accounts.confirm(confirmed_at)
+            self._version = version
+            self._checks.add_confirmed_version(version, confirmed_at)
+            self.counts["changes"] += 1
 
     async def _probe_versions(
         self, node: edge_fleet.Node, end_at: float
@@ -253,122 +302,13 @@
         async with session:
             while time.monotonic() < end_at:
                 version = max(1, self._version - rng.randrange(2))
-                call = self._add_call(
+                call = self._callers.add_call(
                     node, edge_fleet.version_path(version), b"", 1500
                 )
-                await self._send(session, call)
+                await self._callers.send(session, call)
                 self._checks.check_version(call, version)
                 await asyncio.sleep(_PROBE_INTERVAL_S)
 
-    async def _run_caller(self, rng: random.Random, end_at: float) -> None:
-        caller = _Caller(rng=rng)
-        try:
-            while time.monotonic() < end_at:
-                await self._make_call(caller)
-                await asyncio.sleep(rng.uniform(0.0, _MAX_CALL_PAUSE_S))
-        finally:
-            if caller.session is not None:
-                await caller.session.close()
-
-    async def _make_call(self, caller: _Caller) -> None:
-        rng = caller.rng
-        if caller.session is None or caller.node is None:
-            caller.node = self._choose_node(rng)
-            caller.session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=1)
-            )
-        (prefix,) = rng.choices(
-            tuple(_CALL_WEIGHTS), weights=tuple(_CALL_WEIGHTS.values())
-        )
-        body = b""
-        if prefix == "/write/":
-            body = rng.randbytes(rng.randrange(_MAX_BODY_BYTES))
-        call = self._add_call(
-            caller.node, prefix, body, rng.choice(_DEADLINES_MS)
-        )
-        disconnect_after_s = None
-        if rng.random() < _DISCONNECT_SHARE:
-            disconnect_after_s = rng.uniform(0.0, _MAX_DISCONNECT_DELAY_S)
-        await self._send(
-            caller.session, call, disconnect_after_s=disconnect_after_s
-        )
-        self.counts["calls"] += 1
-        self.counts[_outcome(call)] += 1
-        if call.status != 200:
-            # The next call uses a new connection.
-            await caller.session.close()
-            caller.session = None
-
-    def _choose_node(self, rng: random.Random) -> edge_fleet.Node:
-        nodes = list(self._fleet.nodes.values())
-        ready = [
-            n
-            for n in nodes
-            if self._failed_readiness_checks[n.name]
-            < _MIN_FAILED_READINESS_CHECKS
-        ]
-        return rng.choice(ready or nodes)
-
-    def _add_call(
-        self, node: edge_fleet.Node, prefix: str, body: bytes, deadline_ms: int
-    ) -> edge_soak_checks.CallRecord:
-        number = next(self._call_numbers)
-        call = edge_soak_checks.CallRecord(
-            request_id=f"{self._seed}-{number}",
-            node=node.name,
-            method="POST" if prefix == "/write/" else "GET",
-            path=f"{prefix}{number}?n={number}",
-            body=body,
-            deadline_ms=deadline_ms,
-            sent_at=time.monotonic(),
-        )
-        self._checks.add_call(call)
-        return call
-
-    async def _send(
-        self,
-        session: aiohttp.ClientSession,
-        call: edge_soak_checks.CallRecord,
-        *,
-        disconnect_after_s: float | None = None,
-    ) -> None:
-        link = self._links[f"callers-{call.node}"]
-        request_headers = {
-            "Host": edge_fleet.ROUTE_HOST,
-            headers.REQUEST_ID: call.request_id,
-            headers.DEADLINE_MS: str(call.deadline_ms),
-        }
-        call.disconnects_early = disconnect_after_s is not None
-        timeout_s = call.deadline_ms / 1000 + _TIMEOUT_MARGIN_S
-        try:
-            async with (
-                asyncio.timeout(
-                    timeout_s
-                    if disconnect_after_s is None
-                    else disconnect_after_s
-                ),
-                session.request(
-                    call.method,
-                    f"http://127.0.0.1:{link.port}{call.path}",
-                    headers=request_headers,
-                    data=call.body or None,
-                ) as resp,
-            ):
-                body = await resp.read()
-        except (TimeoutError, aiohttp.ClientError, OSError):
-            # The call has no status, so it counts as left or lost.
-            pass
-        else:
-            call.status = resp.status
-            self._checks.check_response(call, resp.headers, body)
-        call.ended_at = time.monotonic()
-
-
-def _outcome(call: edge_soak_checks.CallRecord) -> str:
-    if call.status is not None:
-        return f"{call.status}"
-    return "left" if call.disconnects_early else "lost"
-
 
 async def _run_seed(seed: int, seconds: float, **options: Any) -> int:
     with tempfile.TemporaryDirectory(prefix="edge-soak-") as temp_directory:
@@ -403,8 +343,9 @@
     seeds: int = 1,
     seconds: float = 20.0,
     nodes: int = 5,
-    workers: int = 9,
+    workers: int = 10,
     planned_only: bool = False,
+    accounts: bool = True,
 ) -> int:
     """Runs edges under random faults; returns the number of failed seeds.
 
@@ -416,6 +357,8 @@
         workers: number of workers of all services together.
         planned_only: whether only planned operations happen, during which no
             call may be lost.
+        accounts: whether there are client accounts, cold workers and
+            evacuations.
     """
     return sum(
         asyncio.run(
@@ -425,6 +368,7 @@
                 nodes=nodes,
                 workers=workers,
                 planned_only=planned_only,
+                accounts=accounts,
             )
         )
         for run_seed in range(seed, seed + seeds)
