Move the notices of leaving upstreams out of the zone feed service

Change: LeavingNotices holds the methods unchanged, with the names spread and apply. No behaviour changes.

--- a/tanagerspoke/transport/peers/zone_feed_service.py
+++ b/tanagerspoke/transport/peers/zone_feed_service.py
@@ -18,6 +18,7 @@
 from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.peers import config_proofs
 from tanagerspoke.transport.peers import evacuation_service
+from tanagerspoke.transport.peers import leaving_notices
 from tanagerspoke.transport.peers import zone_feed_client
 from tanagerspoke.transport.peers import zone_feed_server
 from tanagerspoke.transport.store import store_follower
@@ -112,10 +113,17 @@
             initial_updates=self._initial_updates,
             state_updates=self._state_updates,
             is_current=self._is_current,
-            on_report=self._spread_leaving,
+            on_report=lambda update: self._notices.spread(update),
             freshness_reply=lambda: proofs.reply,
             zones_updates=lambda: self._evacuation.updates,
         )
+        self._notices = leaving_notices.LeavingNotices(
+            listing=self._listing,
+            client=self._client,
+            followed_node=lambda: self._followed_node,
+            publish=self._server.publish,
+            on_upstreams=self._pass_on_upstreams,
+        )
         self._evacuation = evacuation_service.EvacuationService(
             client=self._client,
             publish=self._server.publish,
@@ -129,7 +137,6 @@
         # Time until which this node relays the feed of the fleet's reader; see
         # `_is_current`.
         self._relays_until = float("-inf")
-        self._reports: set[asyncio.Task[None]] = set()
 
     @property
     def is_following(self) -> bool:
@@ -165,50 +172,10 @@
         The other nodes learn it through the node that reads the store. Returns
         False if it was known.
         """
-        return self._spread_leaving(
+        return self._notices.spread(
             zone_feed.LeavingUpdate(upstreams=(upstream,))
         )
 
-    def _spread_leaving(self, update: zone_feed.LeavingUpdate) -> bool:
-        """Applies an update and sends it on towards the reader of the store.
-
-        Returns whether it was news.
-        """
-        if not self._apply_leaving(update):
-            return False
-        if self._followed_node is None:
-            return True
-        report = asyncio.get_running_loop().create_task(
-            self._report(self._followed_node, update)
-        )
-        self._reports.add(report)
-        report.add_done_callback(self._reports.discard)
-        return True
-
-    async def _report(
-        self, node: zone_feed.Node, update: zone_feed.LeavingUpdate
-    ) -> None:
-        try:
-            await self._client.report(node=node, update=update)
-        except zone_feed_client.FeedUnavailableError as exc:
-            # The other nodes learn it from the store or their own calls.
-            log.info(
-                "report_not_sent", extra={"node": node.name, "error": str(exc)}
-            )
-
-    def _apply_leaving(self, update: zone_feed.LeavingUpdate) -> bool:
-        """Applies and publishes an update; returns whether it was news."""
-        news = tuple(
-            upstream
-            for upstream in update.upstreams
-            if self._listing.mark_leaving(upstream)
-        )
-        if not news:
-            return False
-        self._server.publish(zone_feed.LeavingUpdate(upstreams=news))
-        self._pass_on_upstreams()
-        return True
-
     async def on_start(self) -> None:
         """Opens the peer port and the connections to the store."""
         await self._client.start()
@@ -218,8 +185,7 @@
 
     async def on_stop(self) -> None:
         """Closes the peer port and all connections."""
-        for report in list(self._reports):
-            report.cancel()
+        self._notices.close()
         await self._server.close()
         await self._client.close()
 
@@ -360,7 +326,7 @@
                 if changed or is_first:
                     self._publish_upstreams()
             case zone_feed.LeavingUpdate():
-                self._apply_leaving(update)
+                self._notices.apply(update)
             case zone_feed.NodesUpdate(nodes=nodes):
                 self._apply_nodes(nodes)
             case zone_feed.ZonesUpdate():
