--- a/tanagerspoke/standins/metadata_store.py
+++ b/tanagerspoke/standins/metadata_store.py
@@ -1,6 +1,7 @@
 """Stand-in of the metadata store: rows, change feeds and transactions."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable
 import time
 
@@ -26,6 +27,8 @@
         on_page: called with the name of the table before a page of its rows is
             sent, whose contents are already chosen.
         call_count: number of calls to the rows API, including refused ones.
+        calls_by_reason: the same by what they do and their table, such as
+            `read op`, `wait op`, `changes servers` and `set edge_nodes`.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self._runner: web.AppRunner | None = None
         self.faults = faults.StoreFaults()
         self.call_count = 0
+        self.calls_by_reason: collections.Counter[str] = collections.Counter()
 
     @property
     def down(self) -> bool:
@@ -147,7 +151,7 @@
         async def handle(req: web.Request) -> web.Response:
             self.call_count += 1
             # aiohttp drops the body if the client disconnects before the read.
-            await req.read()
+            self.calls_by_reason.update(_reasons(req, await req.read()))
             if self.faults.silent:
                 await asyncio.Event().wait()
             if self.faults.resets and req.transport is not None:
@@ -239,3 +243,18 @@
         for row in transaction.remove:
             await self._write(row.table, row.key, None)
         return json_responses.encode(wire.RowsReply(ver=self._version))
+
+
+def _reasons(req: web.Request, body: bytes) -> list[str]:
+    """Returns what a call does, once for each kind of its operations."""
+    if req.method == "GET":
+        action = "read"
+        if req.path == "/rows-feed":
+            action = "wait" if int(req.query["wait_ms"]) else "changes"
+        return [f"{action} {req.query['table']}"]
+    if not body:
+        return ["write of a client that disconnected"]
+    transaction = msgspec.json.decode(body, type=wire.Transaction)
+    written = [f"set {row.table}" for row in transaction.set_keys]
+    removed = [f"remove {row.table}" for row in transaction.remove]
+    return sorted({*written, *removed})
