Look for the next feed before reading the store; hand the first list on

Cause: when a relay ended, each of its followers read routing, upstreams and nodes at once, and was then refused by the next relay, which had no feed yet. At the first start each node read the list of nodes, since it knew no other one. A restarted node read the list only to find its row missing. Ruled out: polling of the next relay alone (57 followers of a zone would ask a host with a third of a core 20 times a second); one node that sends the list to all (170 requests from such a host); trust in the own row of a peer's list (a planned stop may have removed it since); any wait after a power loss. Change: a node that loses its feed looks for the next one for at most 0.5 s, and never longer than 1 s after its last update, as before; then it reads. A node that is about to be current holds a follower for up to 0.3 s. At the first start nodes read the list at a random time within 0.75 to 1 s, earlier than before, and send it to the first node of each zone, which sends it on. A restarted node takes the list of a peer and registers. The list is read by a node that has been reading for 1 s.

--- a/tanagerspoke/coordination/reader_choice.py
+++ b/tanagerspoke/coordination/reader_choice.py
@@ -34,6 +34,11 @@
     level: FeedLevel
 
 
+def ranked(nodes: tuple[zone_feed.Node, ...]) -> tuple[zone_feed.Node, ...]:
+    """Returns the nodes in the order in which they are chosen."""
+    return tuple(sorted(nodes, key=lambda n: (-n.link_mbps, n.name)))
+
+
 class ReaderChoice:
     """Ranks the nodes of the fleet and of this node's zone by link speed.
 
@@ -50,9 +55,7 @@
 
     def set_nodes(self, nodes: tuple[zone_feed.Node, ...]) -> None:
         """Sets the listed nodes of all zones."""
-        self._ranked = tuple(
-            sorted(nodes, key=lambda n: (-n.link_mbps, n.name))
-        )
+        self._ranked = ranked(nodes)
         listed = {n.name for n in nodes}
         self._suspected_until = {
             name: until
--- a/tanagerspoke/transport/peers/zone_feed_client.py
+++ b/tanagerspoke/transport/peers/zone_feed_client.py
@@ -148,7 +148,22 @@
         Raises:
             FeedUnavailableError: the node did not accept the report.
         """
-        url = f"http://{node.address}:{node.port}{zone_feed_codec.REPORT_PATH}"
+        await self._send(node, zone_feed_codec.REPORT_PATH, update)
+
+    async def send_nodes(
+        self, *, node: zone_feed.Node, update: zone_feed.NodesUpdate
+    ) -> None:
+        """Sends the list of nodes to a node that starts.
+
+        Raises:
+            FeedUnavailableError: the node did not accept the list.
+        """
+        await self._send(node, zone_feed_codec.NODES_PATH, update)
+
+    async def _send(
+        self, node: zone_feed.Node, path: str, update: zone_feed.ZoneUpdate
+    ) -> None:
+        url = f"http://{node.address}:{node.port}{path}"
         data = zone_feed_codec.encode_update(update)
         try:
             async with (
@@ -157,9 +172,9 @@
             ):
                 status = resp.status
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-            raise FeedUnavailableError(f"cannot report: {exc!r}") from exc
+            raise FeedUnavailableError(f"cannot send {path}: {exc!r}") from exc
         if status != 204:
-            raise FeedUnavailableError(f"report refused: status {status}")
+            raise FeedUnavailableError(f"{path} refused: status {status}")
 
     def _read_updates(
         self, resp: aiohttp.ClientResponse
--- a/tanagerspoke/transport/peers/zone_feed_codec.py
+++ b/tanagerspoke/transport/peers/zone_feed_codec.py
@@ -22,8 +22,12 @@
 ZONES_PATH = "/zones"
 # Path to which a follower sends what it has learned from its own calls.
 REPORT_PATH = "/report"
+# Path to which a node sends the list of nodes at the first start of the fleet.
+# Nodes of earlier versions do not have it and read the store.
+NODES_PATH = "/nodes"
 # Path at which a node states how recent its configuration is.
 FRESHNESS_PATH = "/freshness"
+# Also bounds the list of nodes: 170 of them take 6 KB.
 MAX_REPORT_BYTES = 65_536
 _FRAME_LENGTH = struct.Struct("!I")
 # A routing table of thousands of routes stays well below this.
--- a/tanagerspoke/transport/peers/zone_feed_server.py
+++ b/tanagerspoke/transport/peers/zone_feed_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import logging
+import time
 
 from aiohttp import web
 
@@ -18,6 +19,10 @@
 # Short enough that a follower detects an unresponsive node well within the time
 # that a configuration change or a drain may take.
 KEEPALIVE_INTERVAL_S = 0.4
+# Longest wait for a node that is about to read the store or to relay a feed.
+# Followers give up after 0.5 s, those of earlier versions as well.
+_CURRENT_WAIT_S = 0.3
+_CURRENT_CHECK_INTERVAL_S = 0.02
 # A follower with this many frames in its queue is disconnected.
 _MAX_QUEUED_FRAMES = 64
 
@@ -39,7 +44,9 @@
         initial_updates: Callable[[], list[zone_feed.ZoneUpdate]],
         state_updates: Callable[[], list[zone_feed.ZoneUpdate]],
         is_current: Callable[[reader_choice.FeedLevel], bool],
+        may_become_current: Callable[[], bool],
         on_report: Callable[[zone_feed.LeavingUpdate], object],
+        on_pushed_nodes: Callable[[tuple[zone_feed.Node, ...]], None],
         freshness_reply: Callable[[], freshness.FreshnessReply],
         zones_updates: Callable[[], list[zone_feed.ZoneUpdate]],
     ) -> None:
@@ -53,7 +60,11 @@
             state_updates: returns this node's state, which may be out of date.
             is_current: returns whether this node may serve a level now, and
                 its state is as recent as the store's replies.
+            may_become_current: returns whether this node looks for a feed or
+                has just begun to read the store, so that a follower that waits
+                may be served soon.
             on_report: called with what a follower has learned from its calls.
+            on_pushed_nodes: called with a list of nodes that another node sent.
             freshness_reply: returns the reply to a query for freshness, also
                 while this node is not current.
             zones_updates: returns the evacuated zones that this node knows.
@@ -62,7 +73,9 @@
         self._initial_updates = initial_updates
         self._state_updates = state_updates
         self._is_current = is_current
+        self._may_become_current = may_become_current
         self._on_report = on_report
+        self._on_pushed_nodes = on_pushed_nodes
         self._freshness_reply = freshness_reply
         self._zones_updates = zones_updates
         self._follower_queues: set[asyncio.Queue[bytes]] = set()
@@ -80,6 +93,7 @@
         )
         app.router.add_get(zone_feed_codec.ZONES_PATH, self._serve_zones)
         app.router.add_post(zone_feed_codec.REPORT_PATH, self._serve_report)
+        app.router.add_post(zone_feed_codec.NODES_PATH, self._serve_nodes)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.0)
         await self._runner.setup()
         await web.TCPSite(
@@ -109,7 +123,7 @@
 
     async def _serve_feed(self, req: web.Request) -> web.StreamResponse:
         level = _requested_level(req)
-        if not self._is_current(level):
+        if not await self._wait_until_current(level):
             return web.Response(status=409, text="not a current reader\n")
         resp = web.StreamResponse()
         await resp.prepare(req)
@@ -139,6 +153,27 @@
             )
         return resp
 
+    async def _wait_until_current(self, level: reader_choice.FeedLevel) -> bool:
+        """Waits while this node may become current; returns whether it is.
+
+        Followers that lost the same node as this one ask before it has a feed.
+        A refusal would make them ask many times or read the store.
+        """
+        deadline = time.monotonic() + _CURRENT_WAIT_S
+        task = asyncio.current_task()
+        self._stream_tasks.add(task)
+        try:
+            while not self._is_current(level):
+                if (
+                    not self._may_become_current()
+                    or time.monotonic() >= deadline
+                ):
+                    return False
+                await asyncio.sleep(_CURRENT_CHECK_INTERVAL_S)
+            return True
+        finally:
+            self._stream_tasks.discard(task)
+
     async def _serve_state(self, req: web.Request) -> web.Response:
         del req
         return self._complete_response(self._state_updates())
@@ -170,6 +205,16 @@
         self._on_report(update)
         return web.Response(status=204)
 
+    async def _serve_nodes(self, req: web.Request) -> web.Response:
+        try:
+            update = zone_feed_codec.decode_update(await req.read())
+        except exceptions.ProtocolError as exc:
+            return web.Response(status=400, text=f"{exc}\n")
+        if not isinstance(update, zone_feed.NodesUpdate):
+            return web.Response(status=400, text="not a list of nodes\n")
+        self._on_pushed_nodes(update.nodes)
+        return web.Response(status=204)
+
     async def _next_frame(
         self, queue: asyncio.Queue[bytes], level: reader_choice.FeedLevel
     ) -> bytes:
--- a/tanagerspoke/transport/peers/zone_feed_service.py
+++ b/tanagerspoke/transport/peers/zone_feed_service.py
@@ -8,6 +8,7 @@
 
 import mode
 
+from tanagerspoke.coordination import feed_search
 from tanagerspoke.coordination import reader_choice
 from tanagerspoke.coordination import upstream_listing
 from tanagerspoke.protocol import routing
@@ -19,6 +20,7 @@
 from tanagerspoke.transport.peers import config_proofs
 from tanagerspoke.transport.peers import evacuation_service
 from tanagerspoke.transport.peers import leaving_notices
+from tanagerspoke.transport.peers import node_list_push
 from tanagerspoke.transport.peers import zone_feed_client
 from tanagerspoke.transport.peers import zone_feed_server
 from tanagerspoke.transport.store import store_follower
@@ -31,6 +33,12 @@
 # again, since it may not have begun to read yet; later, another one is chosen.
 _STARTUP_WAIT_S = 2.0
 _READER_RETRY_INTERVAL_S = 0.2
+# The same while a node that lost its feed waits for the next reader or relay,
+# which may not have noticed the loss yet.
+_SEARCH_RETRY_INTERVAL_S = 0.05
+# Time after which a node that began to read the store is no longer expected to
+# be current soon; see `ZoneFeedServer`.
+_READ_EXPECTED_S = 0.5
 # Time that a restarted node waits for the state of another one before it reads
 # the store as well.
 _PEER_STATE_WAIT_S = 0.03
@@ -95,6 +103,11 @@
         self._reader_choice = reader_choice.ReaderChoice(
             node=cfg.node, availability_zone=cfg.availability_zone
         )
+        self._search = feed_search.FeedSearch(
+            update_timeout_s=zone_feed_client.UPDATE_TIMEOUT_S
+        )
+        self._reading_since = float("-inf")
+        self._search_timer: asyncio.TimerHandle | None = None
         self._client = zone_feed_client.ZoneFeedClient()
         self._store_follower = store_follower.StoreFollower(
             cfg=cfg,
@@ -104,7 +117,8 @@
             on_routing=self._apply_routing,
             on_zones=lambda *args: self._evacuation.apply_change(*args),
             on_upstreams=self._publish_upstreams,
-            on_nodes=self._apply_nodes,
+            on_nodes=self._apply_listed_nodes,
+            known_nodes=lambda: self._nodes,
             on_store_call=on_store_call,
             on_unreadable_row=on_unreadable_row,
         )
@@ -113,6 +127,8 @@
             initial_updates=self._initial_updates,
             state_updates=self._state_updates,
             is_current=self._is_current,
+            may_become_current=self._may_become_current,
+            on_pushed_nodes=self._receive_nodes,
             on_report=lambda update: self._notices.spread(update),
             freshness_reply=lambda: proofs.reply,
             zones_updates=lambda: self._evacuation.updates,
@@ -124,6 +140,12 @@
             publish=self._server.publish,
             on_upstreams=self._pass_on_upstreams,
         )
+        self._push = node_list_push.NodeListPush(
+            node=cfg.node,
+            client=self._client,
+            nodes=lambda: self._nodes,
+            on_nodes=self._apply_nodes,
+        )
         self._evacuation = evacuation_service.EvacuationService(
             client=self._client,
             publish=self._server.publish,
@@ -185,6 +207,8 @@
 
     async def on_stop(self) -> None:
         """Closes the peer port and all connections."""
+        self._end_search()
+        self._push.close()
         self._notices.close()
         await self._server.close()
         await self._client.close()
@@ -193,6 +217,8 @@
     @supervision.restarted
     async def _follow(self) -> None:
         await self._wait_for_nodes()
+        if not self._cfg.first_start:
+            self._start_search()
         while not self.should_stop:
             feed = self._reader_choice.feed(time.monotonic())
             if feed is None:
@@ -210,19 +236,35 @@
                     ),
                 )
             except zone_feed_client.NotAReaderError:
-                if not await self._wait_for_starting_reader():
+                if self._search.is_active:
+                    await asyncio.sleep(_SEARCH_RETRY_INTERVAL_S)
+                elif not await self._wait_for_starting_reader():
                     self._reader_choice.suspect(node.name, time.monotonic())
             except zone_feed_client.FeedUnavailableError as exc:
                 self._reader_choice.suspect(node.name, time.monotonic())
                 log.warning(
                     "news_lost", extra={"node": node.name, "error": str(exc)}
                 )
-                self._start_reading("news lost")
+                self._start_search()
             finally:
                 self._followed_node = None
-                self._relays_until = min(
-                    self._relays_until, time.monotonic() + _READ_START_S
-                )
+
+    def _start_search(self) -> None:
+        """Sets the time at which this node reads the store without a feed."""
+        if self._store_follower.is_reading or self._search.is_active:
+            return
+        now = time.monotonic()
+        read_at = self._search.start(now)
+        self._relays_until = min(self._relays_until, read_at + _READ_START_S)
+        self._search_timer = asyncio.get_running_loop().call_later(
+            read_at - now, self._start_reading, "news lost"
+        )
+
+    def _end_search(self) -> None:
+        self._search.stop()
+        if self._search_timer is not None:
+            self._search_timer.cancel()
+            self._search_timer = None
 
     async def _wait_for_starting_reader(self) -> bool:
         """Waits before the chosen node, which refused, is tried again.
@@ -242,7 +284,10 @@
             # the store, and many nodes may restart at the same time.
             fetch = asyncio.create_task(self._fetch_peer_state())
             await asyncio.wait([fetch], timeout=_PEER_STATE_WAIT_S)
-            if self._table is None or self._listing.position < 0:
+            self._store_follower.end_list_wait()
+            if self._has_state:
+                self._search.record_update(time.monotonic())
+            else:
                 self._start_reading("restart")
             await fetch
         try:
@@ -256,18 +301,30 @@
 
         The state may be out of date; the next reply of the store replaces it.
         """
-        for fetch in asyncio.as_completed(
-            [self._client.fetch_state(peer) for peer in self._cfg.known_peers]
-        ):
-            try:
-                updates = await fetch
-            except zone_feed_client.FeedUnavailableError as exc:
-                log.info("peer_not_asked", extra={"error": str(exc)})
-                continue
-            if self._table is None or self._listing.position < 0:
-                log.info("state_of_peer_taken", extra={"items": len(updates)})
-                for update in updates:
-                    self._apply_update(update)
+        fetches = [
+            asyncio.create_task(self._client.fetch_state(peer))
+            for peer in self._cfg.known_peers
+        ]
+        try:
+            for fetch in asyncio.as_completed(fetches):
+                try:
+                    updates = await fetch
+                except zone_feed_client.FeedUnavailableError as exc:
+                    log.info("peer_not_asked", extra={"error": str(exc)})
+                    continue
+                if not self._has_state:
+                    log.info(
+                        "state_of_peer_taken", extra={"items": len(updates)}
+                    )
+                    for update in updates:
+                        self._apply_update(update)
+                if self._has_state and self._nodes:
+                    # Peers that do not reply must not delay the search for a
+                    # feed.
+                    return
+        finally:
+            for fetch in fetches:
+                fetch.cancel()
 
     async def fetch_routing(self, peer: options.Endpoint) -> None:
         """Applies the routing table of a node if it is newer.
@@ -283,8 +340,14 @@
             if isinstance(update, zone_feed.RoutingUpdate):
                 self._apply_update(update)
 
+    @property
+    def _has_state(self) -> bool:
+        return self._table is not None and self._listing.position >= 0
+
     def _start_reading(self, reason: str) -> None:
+        self._end_search()
         if not self._store_follower.is_reading:
+            self._reading_since = time.monotonic()
             log.info("store_read_by_this_node", extra={"reason": reason})
             self._store_follower.resume()
 
@@ -301,14 +364,24 @@
             and time.monotonic() < self._relays_until
         )
 
+    def _may_become_current(self) -> bool:
+        """Returns whether this node will soon have a feed or read the store."""
+        reading_s = time.monotonic() - self._reading_since
+        return self._search.is_active or (
+            self._store_follower.is_reading and reading_s < _READ_EXPECTED_S
+        )
+
     def _apply_followed_update(
         self, is_relay: bool, update: zone_feed.ZoneUpdate
     ) -> None:
         self._apply_update(update)
-        if is_relay and isinstance(update, zone_feed.Keepalive):
-            self._relays_until = (
-                time.monotonic() + zone_feed_client.UPDATE_TIMEOUT_S
-            )
+        if not isinstance(update, zone_feed.Keepalive):
+            return
+        now = time.monotonic()
+        self._end_search()
+        self._search.record_update(now)
+        if is_relay:
+            self._relays_until = now + zone_feed_client.UPDATE_TIMEOUT_S
 
     def _apply_update(self, update: zone_feed.ZoneUpdate) -> None:
         match update:
@@ -379,8 +452,22 @@
     def _pass_on_upstreams(self) -> None:
         self._on_upstreams(self._listing.upstreams, self._listing.cold_until)
 
+    def _apply_listed_nodes(self, nodes: tuple[zone_feed.Node, ...]) -> None:
+        """Applies the list in the store."""
+        is_first = not self._nodes_received.is_set()
+        self._apply_nodes(nodes)
+        if self._cfg.first_start and is_first:
+            self._push.send_to_zones(nodes)
+
+    def _receive_nodes(self, nodes: tuple[zone_feed.Node, ...]) -> None:
+        """Applies a list that another node sent at the fleet's first start."""
+        uptime_s = time.monotonic() - self._started_at
+        if self._cfg.first_start and uptime_s < _STARTUP_WAIT_S:
+            self._push.receive(nodes)
+
     def _apply_nodes(self, nodes: tuple[zone_feed.Node, ...]) -> None:
         self._nodes_received.set()
+        self._store_follower.end_list_wait()
         if nodes == self._nodes:
             return
         self._nodes = nodes
--- a/tanagerspoke/transport/store/store_follower.py
+++ b/tanagerspoke/transport/store/store_follower.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import contextlib
 import logging
+import random
 import time
 from typing import TypeVar
 
@@ -35,6 +37,12 @@
 _NODES_READ_INTERVAL_S = 5.0
 # Time within which all nodes register when the fleet starts for the first time.
 _FLEET_REGISTRATION_S = 1.0
+# Share of that time after which the first node may read the list. Each node
+# takes a random time, so that one reads the list and hands it to the others.
+_MIN_REGISTRATION_SHARE = 0.75
+# Time after the start of reading at which the list of nodes is read. A node
+# that reads only until it has found another feed does not need it.
+_NODES_READ_DELAY_S = 1.0
 # If a read of upstreams is overdue by more than this, the followers of this
 # node read the store themselves, soon enough for changes since its last read.
 _MAX_READ_DELAY_S = 0.25
@@ -63,6 +71,8 @@
         on_upstreams: called when the upstreams in use changed, and after the
             first read.
         on_nodes: called with each list of nodes that is read.
+        known_nodes: returns the newest list that the owner has, also from other
+            nodes; empty if it has none.
         on_store_call: called with the result of each call: `ok`, `failed` or
             `history_lost`.
         on_unreadable_row: called for each row that holds no valid entry.
@@ -79,6 +89,7 @@
         on_zones: Callable[[int, zones_types.ZonesChange], None],
         on_upstreams: Callable[[], None],
         on_nodes: Callable[[tuple[zone_feed.Node, ...]], None],
+        known_nodes: Callable[[], tuple[zone_feed.Node, ...]],
         on_store_call: Callable[[str], None],
         on_unreadable_row: Callable[[], None],
     ) -> None:
@@ -91,6 +102,9 @@
         self._on_zones = on_zones
         self._on_upstreams = on_upstreams
         self._on_nodes = on_nodes
+        self._known_nodes = known_nodes
+        self._list_awaited = asyncio.Event()
+        self._rng = random.Random()
         self._on_store_call = on_store_call
         self._on_unreadable_row = on_unreadable_row
         self._node = zone_feed.Node(
@@ -143,6 +157,13 @@
         """Applies changed options, except for the store's address."""
         self._cfg = cfg
 
+    def end_list_wait(self) -> None:
+        """Ends the wait at the start for a list of nodes from another node.
+
+        Called when the owner has one, or when other nodes have been asked.
+        """
+        self._list_awaited.set()
+
     def resume(self) -> None:
         """Starts or resumes reading the store."""
         self._reading_enabled.set()
@@ -298,11 +319,24 @@
     @supervision.restarted
     async def _follow_nodes(self) -> None:
         if self._cfg.first_start:
-            while not self._registered:
-                await self._call_store(self._register_node())
+            await self._register()
             # All nodes start at about the same time; after this wait, one read
             # returns them all.
-            await asyncio.sleep(_FLEET_REGISTRATION_S)
+            wait_s = _FLEET_REGISTRATION_S * self._rng.uniform(
+                _MIN_REGISTRATION_SHARE, 1.0
+            )
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self._list_awaited.wait()
+            if self._known_nodes():
+                await self._wait_for_nodes_read()
+        else:
+            await self._list_awaited.wait()
+            if self._known_nodes():
+                # The list may hold a row that this node's planned stop removed.
+                await self._register()
+                self._add_own_node()
+                await self._wait_for_nodes_read()
         while not self.should_stop:
             listed = await self._call_store(self._source.read_nodes())
             if listed is not None:
@@ -314,13 +348,29 @@
                 self._registered = self._registered or self._node in nodes
                 self._on_nodes(nodes)
                 if not self._registered:
-                    while not self._registered:
-                        await self._call_store(self._register_node())
-                    nodes = (*_without(nodes, self._node.name), self._node)
-                    self._on_nodes(nodes)
+                    await self._register()
+                    self._add_own_node()
                 await asyncio.sleep(_NODES_READ_INTERVAL_S)
-            await self._reading_enabled.wait()
+            await self._wait_for_nodes_read()
+
+    async def _wait_for_nodes_read(self) -> None:
+        """Waits until this node reads the store, and has for some time."""
+        while True:
+            if not self._reading_enabled.is_set():
+                await self._reading_enabled.wait()
+                await asyncio.sleep(_NODES_READ_DELAY_S)
             await self._health.wait_until_reachable()
+            if self._reading_enabled.is_set():
+                return
+
+    async def _register(self) -> None:
+        while not self._registered:
+            await self._call_store(self._register_node())
+
+    def _add_own_node(self) -> None:
+        nodes = self._known_nodes()
+        if self._node not in nodes:
+            self._on_nodes((*_without(nodes, self._node.name), self._node))
 
     async def _register_node(self) -> None:
         await self._source.register_node(self._node)
