Notice a silent feed in time to find another; align the keepalives

Cause: a frozen relay or reader was noticed 1 s after its last update, at which the store has to be read, so each follower read it. Followers noticed it up to 0.4 s apart, since each had its own keepalive interval. Ruled out: shorter keepalives (more bytes for each follower); a later read of the store (the bounds for a node without a source stay as they are). Change: a feed counts as lost after 0.84 s instead of 1 s; the store is still read 1 s after the last update. Keepalives go to all followers at the same times. A closed client raises FeedUnavailableError: a node that was stopped while it asked others for evacuated zones logged task_restarted with a traceback.

--- a/tanagerspoke/transport/peers/zone_feed_client.py
+++ b/tanagerspoke/transport/peers/zone_feed_client.py
@@ -20,9 +20,12 @@
 _STATE_TIMEOUT_S = 1.0
 _REPORT_TIMEOUT_S = 1.0
 _ZONES_TIMEOUT_S = 0.5
-# Time without an update after which a node counts as unreachable. By then two
-# keepalives are missing.
+# Time after its last update after which a node without a feed reads the store.
 UPDATE_TIMEOUT_S = 2.5 * zone_feed_server.KEEPALIVE_INTERVAL_S
+# Time without an update after which a node counts as unreachable. By then two
+# keepalives are missing, and there is time to find another feed before the
+# store is read.
+_SILENCE_TIMEOUT_S = 2.1 * zone_feed_server.KEEPALIVE_INTERVAL_S
 
 
 class FeedUnavailableError(exceptions.TanagerspokeError):
@@ -73,11 +76,12 @@
                 node or cannot read the store.
         """
         node = feed.node
+        session = self._open_session()
         url = f"http://{node.address}:{node.port}{zone_feed_codec.FEED_PATH}"
         params = {zone_feed_codec.LEVEL_PARAMETER: feed.level.value}
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                resp = await self._session.get(url, params=params)
+                resp = await session.get(url, params=params)
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise FeedUnavailableError(f"cannot connect: {exc!r}") from exc
         async with resp:
@@ -123,13 +127,20 @@
         url = f"http://{node.address}:{node.port}{zone_feed_codec.ZONES_PATH}"
         return await self._fetch(url, timeout_s=_ZONES_TIMEOUT_S)
 
+    def _open_session(self) -> aiohttp.ClientSession:
+        # Tasks of the owner may still run when the client is closed.
+        if self._session is None:
+            raise FeedUnavailableError("the client is closed")
+        return self._session
+
     async def _fetch(
         self, url: str, *, timeout_s: float
     ) -> list[zone_feed.ZoneUpdate]:
+        session = self._open_session()
         try:
             async with (
                 asyncio.timeout(timeout_s),
-                self._session.get(url) as resp,
+                session.get(url) as resp,
             ):
                 return [update async for update in self._read_updates(resp)]
         except (
@@ -163,12 +174,13 @@
     async def _send(
         self, node: zone_feed.Node, path: str, update: zone_feed.ZoneUpdate
     ) -> None:
+        session = self._open_session()
         url = f"http://{node.address}:{node.port}{path}"
         data = zone_feed_codec.encode_update(update)
         try:
             async with (
                 asyncio.timeout(_REPORT_TIMEOUT_S),
-                self._session.post(url, data=data) as resp,
+                session.post(url, data=data) as resp,
             ):
                 status = resp.status
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
@@ -193,7 +205,7 @@
     ) -> None:
         updates = self._read_updates(resp)
         while True:
-            async with asyncio.timeout(UPDATE_TIMEOUT_S):
+            async with asyncio.timeout(_SILENCE_TIMEOUT_S):
                 try:
                     update = await anext(updates)
                 except StopAsyncIteration:
--- a/tanagerspoke/transport/peers/zone_feed_server.py
+++ b/tanagerspoke/transport/peers/zone_feed_server.py
@@ -218,8 +218,13 @@
     async def _next_frame(
         self, queue: asyncio.Queue[bytes], level: reader_choice.FeedLevel
     ) -> bytes:
+        # All followers get keepalives at the same times. So they notice
+        # together that this node is silent, and the next relay is ready when
+        # the others ask it.
+        now = asyncio.get_running_loop().time()
+        wait_s = KEEPALIVE_INTERVAL_S - now % KEEPALIVE_INTERVAL_S
         try:
-            async with asyncio.timeout(KEEPALIVE_INTERVAL_S):
+            async with asyncio.timeout(wait_s):
                 return await queue.get()
         except TimeoutError:
             return zone_feed_codec.encode_frame(
--- a/tests/transport/zone_feed_fleet.py
+++ b/tests/transport/zone_feed_fleet.py
@@ -5,6 +5,8 @@
 from collections.abc import AsyncIterator, Iterable
 import contextlib
 import dataclasses
+import random
+import socket
 import time
 from typing import Any
 
@@ -52,6 +54,24 @@
         return await super()._request(*args, **kwargs)
 
 
+_issued_ports: set[int] = set()
+
+
+def _port_for_restarts() -> int:
+    """Returns an unused port that outgoing connections do not take.
+
+    A node that is down would otherwise find its port in use at its restart.
+    """
+    while True:
+        port = random.randrange(10_000, 32_000)
+        if port in _issued_ports:
+            continue
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.bind(("127.0.0.1", port))
+            _issued_ports.add(port)
+            return port
+
+
 class FleetNode:
     """A node of the fleet, which can be started again.
 
@@ -72,7 +92,13 @@
     ) -> None:
         self._store_endpoint = endpoint
         self.cfg = edge_stack.make_cfg(
-            endpoint, number, availability_zone=zone, drain_s=2.5
+            endpoint,
+            number,
+            availability_zone=zone,
+            drain_s=2.5,
+            peers=options.Endpoint(
+                address="127.0.0.1", port=_port_for_restarts()
+            ),
         )
         self.link = tcp_link.TcpLink(target_port=self.cfg.peers.port)
         self._is_linked = is_linked
