--- a/tanagerspoke/transport/peers/zone_feed_service.py
+++ b/tanagerspoke/transport/peers/zone_feed_service.py
@@ -325,6 +325,8 @@
         finally:
             for fetch in fetches:
                 fetch.cancel()
+            # Otherwise asyncio logs errors that nobody has retrieved.
+            await asyncio.gather(*fetches, return_exceptions=True)
 
     async def fetch_routing(self, peer: options.Endpoint) -> None:
         """Applies the routing table of a node if it is newer.
--- a/tests/transport/test_store_calls.py
+++ b/tests/transport/test_store_calls.py
@@ -126,6 +126,24 @@
         assert listed + calls.get("read edge_nodes", 0) <= 24 + 4
 
 
+async def test_frozen_peer_does_not_delay_the_feed_of_a_restarted_node() -> (
+    None
+):
+    """Guards against a wait of 1 s for the state of each known peer."""
+    async with zone_feed_fleet.run(nodes=6, linked=(2,)) as fleet:
+        await _start_fleet(fleet)
+        frozen, dead, node = fleet.nodes[2], fleet.nodes[4], fleet.nodes[3]
+        await _end([dead, node], "kill")
+        frozen.link.stall()
+        await node.start(
+            first_start=False, known=(dead, frozen, fleet.nodes[0])
+        )
+        # By then it has the state of n0, which does not hold this version.
+        await asyncio.sleep(0.1)
+        written_at = await fleet.put_manifest(2)
+        assert await fleet.wait_in_force(2, [node]) - written_at < 0.5
+
+
 @pytest.mark.parametrize("relay_end", ["kill", "freeze"])
 @pytest.mark.parametrize("reader_end", ["kill", "freeze", "cut off"])
 @pytest.mark.parametrize("gap_s", [0.0, 0.6])
