End a read that takes the memory of its own call

Cause: the read that completes a body can need memory that is taken from the same call, if it made no progress for 2 s. The call got 503 "not run", and the read then went on to its body, which was gone: an AttributeError left the connection's callback, which resets the connection.

Ruled out: the change of the parser's pauses: the order was the same before it.

Change: a read ends where the connection is closing.

The new test failed before: the call was run after its refusal.

--- a/tanagerspoke/transport/callers/caller_connection.py
+++ b/tanagerspoke/transport/callers/caller_connection.py
@@ -239,6 +239,9 @@
         if self._is_closing or self._parsing_failed:
             return
         self._parse(data)
+        if self._is_closing:
+            # The call was refused, since this read needed its memory.
+            return
         if self._reading_body:
             # Reading the payload resumes the parser, which calls this method
             # again. Only the outer invocation may finish the body; otherwise
--- a/tests/transport/callers/test_caller_connection.py
+++ b/tests/transport/callers/test_caller_connection.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tanagerspoke.coordination.caller_memory import limits as memory_limits
 from tanagerspoke.transport.callers import caller_calls
 from tanagerspoke.transport.callers import caller_connection
 from tanagerspoke.transport.callers import memory_guard
@@ -41,14 +42,17 @@
 
 def _new_connection(
     handler: RecordingHandler,
+    *,
+    guard: memory_guard.MemoryGuard | None = None,
+    max_body_bytes: int = 100,
 ) -> caller_connection.CallerConnection:
     return caller_connection.CallerConnection(
         loop=asyncio.get_running_loop(),
         handler=handler,
         limits=lambda: caller_calls.Limits(
-            max_header_bytes=8000, max_body_bytes=100
+            max_header_bytes=8000, max_body_bytes=max_body_bytes
         ),
-        guard=memory_guard.MemoryGuard(),
+        guard=guard or memory_guard.MemoryGuard(),
     )
 
 
@@ -232,3 +236,37 @@
     for _ in range(200):
         await asyncio.sleep(0)
     assert handler.events == ["/a", b""] * 100
+
+
+class _RefusingHandler(RecordingHandler):
+    """Ends a call that is refused for memory."""
+
+    def refuse_for_memory(self, conn) -> None:
+        """Records the refusal and ends the call."""
+        self.events.append("no memory")
+        conn.finish(keep_alive=False)
+
+
+async def test_call_refused_for_memory_is_not_run_by_the_same_read() -> None:
+    """Guards against a call that runs after its refusal, or fails in it.
+
+    The read that ends a stalled body needs the memory that the body holds.
+    """
+    now = 0.0
+    guard = memory_guard.MemoryGuard(
+        memory_limits=memory_limits.MemoryLimits(
+            total_bytes=100_000, large_bytes=100_000
+        ),
+        clock=lambda: now,
+    )
+    handler = _RefusingHandler()
+    conn = _new_connection(handler, guard=guard, max_body_bytes=50_000)
+    chunk = b"4e20\r\n" + b"x" * 20_000 + b"\r\n"
+    conn.data_received(
+        _POST_HEADERS + b"Transfer-Encoding: chunked\r\n\r\n" + chunk
+    )
+    now = 3.0
+    conn.data_received(chunk + b"0\r\n\r\n")
+    assert handler.events == ["/a", "no memory"]
+    conn.connection_lost(None)
+    assert guard.used_bytes == 0
