Let the fuzz target finish calls that other connections overtook

A fault of the fuzz target: it finished only the newest 20 calls, and more of other connections had started since.

Ruled out: a response that the server lost: the call had not been ended.

Change: the newest call of each connection can always be finished.

--- a/bench/caller_bytes.py
+++ b/bench/caller_bytes.py
@@ -106,6 +106,8 @@
         self._sync_share = rng.choice((0.0, 0.5, 1.0))
         self._now = 0.0
         self._runs: list[_Run] = []
+        # By connection, which runs one request at a time.
+        self._newest_runs: dict[int, _Run] = {}
         self._stream_tasks: list[asyncio.Task[None]] = []
         self._problems: list[str] = []
         total_bytes = _SCARCE_BYTES if self._is_scarce else _AMPLE_BYTES
@@ -187,7 +189,9 @@
             conn.receive for conn in self._conns if conn.can_receive
         ]
         steps += [
-            run.finish for run in self._runs[-20:] if run.finish is not None
+            run.finish
+            for run in self._newest_runs.values()
+            if run.finish is not None
         ]
         steps += [
             lambda conn=conn: conn.transport.read(rng.randint(1, 50_000))
@@ -224,13 +228,12 @@
             method=request.method,
             body=bytes(request.body),
         )
-        if any(
-            other.finish is not None and other.conn_number == conn_number
-            for other in self._runs
-        ):
+        previous = self._newest_runs.get(conn_number)
+        if previous is not None and previous.finish is not None:
             self._problems.append(f"{run.name} runs beside another one")
         number = len(self._runs)
         self._runs.append(run)
+        self._newest_runs[conn_number] = run
         rng = self._rng
         size = rng.choice((0, 10, 10, 3000, 200_000))
         # Upstreams send no body in response to HEAD.
