--- a/tanagerspoke/coordination/feed_search.py
+++ b/tanagerspoke/coordination/feed_search.py
@@ -2,8 +2,8 @@
 
 # Time for which a node looks for the next feed before it reads the store. The
 # next relay is current after its connection to the reader, and the next reader
-# after its first read: within 0.05 s with 24 nodes in one process. On slow links
-# the transfer of a state alone takes 0.2 s.
+# after its first read: within 0.05 s with 24 nodes in one process. On slow
+# links the transfer of a state alone takes 0.2 s.
 _MAX_SEARCH_S = 0.5
 
 
