Find the first node of each zone in one place

Cause: list_recipients wrote the loop of ReaderChoice.feed again. Ruled out: a change of who is chosen; the order of the nodes is the same. Change: reader_choice.first_by_zone serves both. Figures: none; test_reader_choice and test_store_calls pass as before.

--- a/tanagerspoke/coordination/list_recipients.py
+++ b/tanagerspoke/coordination/list_recipients.py
@@ -16,7 +16,7 @@
     They are the first node of each zone, and the others of the node's zone if
     it is the first one itself.
     """
-    first = _first_by_zone(nodes)
+    first = reader_choice.first_by_zone(reader_choice.ranked(nodes))
     others = tuple(node for node in first.values() if node.name != name)
     return (*others, *of_receiver(name, nodes))
 
@@ -25,7 +25,8 @@
     name: str, nodes: tuple[zone_feed.Node, ...]
 ) -> tuple[zone_feed.Node, ...]:
     """Returns the recipients of a node that got the list from another one."""
-    for zone, node in _first_by_zone(nodes).items():
+    first = reader_choice.first_by_zone(reader_choice.ranked(nodes))
+    for zone, node in first.items():
         if node.name == name:
             return tuple(
                 other
@@ -33,12 +34,3 @@
                 if other.availability_zone == zone and other.name != name
             )
     return ()
-
-
-def _first_by_zone(
-    nodes: tuple[zone_feed.Node, ...],
-) -> dict[str, zone_feed.Node]:
-    first: dict[str, zone_feed.Node] = {}
-    for node in reader_choice.ranked(nodes):
-        first.setdefault(node.availability_zone, node)
-    return first
--- a/tanagerspoke/coordination/reader_choice.py
+++ b/tanagerspoke/coordination/reader_choice.py
@@ -6,6 +6,7 @@
 once.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import enum
 
@@ -39,6 +40,16 @@
     return tuple(sorted(nodes, key=lambda n: (-n.link_mbps, n.name)))
 
 
+def first_by_zone(
+    nodes: Iterable[zone_feed.Node],
+) -> dict[str, zone_feed.Node]:
+    """Returns the first node of each zone, in the order of the nodes."""
+    first: dict[str, zone_feed.Node] = {}
+    for node in nodes:
+        first.setdefault(node.availability_zone, node)
+    return first
+
+
 class ReaderChoice:
     """Ranks the nodes of the fleet and of this node's zone by link speed.
 
@@ -69,13 +80,12 @@
 
     def feed(self, now: float) -> FollowedFeed | None:
         """Returns the feed to follow; None if this node must read the store."""
-        relays: dict[str, zone_feed.Node] = {}
-        for node in self._ranked:
-            if (
-                node.name == self._node
-                or self._suspected_until.get(node.name, 0.0) <= now
-            ):
-                relays.setdefault(node.availability_zone, node)
+        relays = first_by_zone(
+            node
+            for node in self._ranked
+            if node.name == self._node
+            or self._suspected_until.get(node.name, 0.0) <= now
+        )
         relay = relays.get(self._zone)
         if relay is None:
             return None
