Detect a zone's return once, and estimate calls in flight in the view

Cause: set_evacuated_zones compared the state before and after _set_evacuated, which makes the same comparison; service_status passed the view's figures to a record as two other callers do. Ruled out: the loop of the balancer, which keeps the figures in locals because it runs for each candidate of each choice. Change: _set_evacuated returns whether the zone has returned; LoadView.in_flight serves the scheduler, the status and the explanation.

--- a/tanagerspoke/coordination/placements/candidates.py
+++ b/tanagerspoke/coordination/placements/candidates.py
@@ -100,11 +100,7 @@
     return placement.Candidate(
         upstream_id=upstream_id,
         availability_zone=record.upstream.availability_zone,
-        in_flight=record.in_flight(
-            now=now,
-            mean_remote_in_flight=view.mean_remote_in_flight,
-            trust=view.report_trust,
-        ),
+        in_flight=view.in_flight(record, now),
         own_in_flight=record.local_in_flight,
         slots=record.slots,
         report_age_s=age_s if math.isfinite(age_s) else None,
--- a/tanagerspoke/coordination/route_scheduling.py
+++ b/tanagerspoke/coordination/route_scheduling.py
@@ -394,11 +394,7 @@
         attempt = state.attempt_count
         record.local_in_flight += 1
         self._local_in_flight += 1
-        in_flight = record.in_flight(
-            now=now,
-            mean_remote_in_flight=self._view.mean_remote_in_flight,
-            trust=self._view.report_trust,
-        )
+        in_flight = self._view.in_flight(record, now)
         state.attempts[attempt] = call_attempts.Attempt(
             record=record,
             started_at=now,
--- a/tanagerspoke/coordination/service_status.py
+++ b/tanagerspoke/coordination/service_status.py
@@ -47,10 +47,5 @@
 def _is_full(
     record: loads.UpstreamLoad, view: loads.LoadView, now: float
 ) -> bool:
-    in_flight = record.in_flight(
-        now=now,
-        mean_remote_in_flight=view.mean_remote_in_flight,
-        trust=view.report_trust,
-    )
     # More than half of the last slot is expected to be in use.
-    return in_flight > record.slots - 0.5
+    return view.in_flight(record, now) > record.slots - 0.5
--- a/tanagerspoke/state/loads.py
+++ b/tanagerspoke/state/loads.py
@@ -393,19 +393,20 @@
         self._evacuated_zones = zones
         has_others = bool(self.eligible)
         for record in self._records.values():
-            was_evacuated = record.evacuated
-            self._set_evacuated(record, now)
-            if was_evacuated and not record.evacuated and has_others:
+            if self._set_evacuated(record, now) and has_others:
                 record.ramp_min_share = self._position(
                     record.upstream.upstream_id
                 )
         self._refresh_eligible()
 
-    def _set_evacuated(self, record: UpstreamLoad, now: float) -> None:
+    def _set_evacuated(self, record: UpstreamLoad, now: float) -> bool:
+        """Returns whether the upstream's zone has returned."""
         evacuated = record.upstream.availability_zone in self._evacuated_zones
-        if record.evacuated and not evacuated:
+        has_returned = record.evacuated and not evacuated
+        if has_returned:
             record.ramp_starts_at = max(now, record.ramp_starts_at or now)
         record.evacuated = evacuated
+        return has_returned
 
     def set_cold_until(
         self, cold_until: Mapping[str, float], *, ramps: bool, now: float
@@ -451,6 +452,14 @@
         """Returns the number of eligible upstreams that are cold."""
         return sum(r.is_cold(now) for r in self.eligible)
 
+    def in_flight(self, record: UpstreamLoad, now: float) -> float:
+        """Returns the estimated calls in flight at one of the upstreams."""
+        return record.in_flight(
+            now=now,
+            mean_remote_in_flight=self.mean_remote_in_flight,
+            trust=self.report_trust,
+        )
+
     def mark_draining(self, upstream_id: str) -> None:
         """Excludes the upstream from new calls."""
         record = self._records.get(upstream_id)
