Refuse calls without a token in one place

Cause: the refusal of retries by owners of an older build repeated the general one, and whether an allowance is for retries was asked in three places. Ruled out: a request class for retries, since the message stays as it is. Change: the condition stands at the case that starts a new round; _ask alone decides what a request of the retries states.

--- a/tanagerspoke/coordination/usage_limits/allowance.py
+++ b/tanagerspoke/coordination/usage_limits/allowance.py
@@ -211,16 +211,10 @@
             return []
         match reply.result:
             case usage.Result.GRANTED if (
-                self._for_retries and reply.granted < request.waiting
+                # Owners of an older build also answer so to retries that got
+                # fewer tokens than they asked for.
+                not self._for_retries or reply.granted >= request.waiting
             ):
-                # An owner of an older build, which states no times.
-                return account_demand.refuse_waiting(
-                    reply,
-                    now,
-                    hold_off=request.node != self._node,
-                    decided_by=request.node,
-                )
-            case usage.Result.GRANTED:
                 # The calls that wait came after the request was sent.
                 return self._start_round(account, now)
             case usage.Result.NOT_OWNER:
@@ -271,7 +265,7 @@
         account_demand = self._demands[account]
         waiting = min(len(account_demand.waiting), usage.MAX_TOKENS)
         extra = 0
-        if node != self._node and not self._for_retries:
+        if node != self._node:
             extra = account_demand.expected_calls(now)
         return [self._ask(account, node, now, waiting=waiting, extra=extra)]
 
