Read bounded answers in one place, with their source in the error

Cause: two clients of the store added method and path to the same error, and the commands read an edge's bounded answer by a loop of their own. A broken connection in an outage was logged without the bound on error texts. Ruled out: one exception for commands and the store; the command's message stays as it is. Change: read_body names method and path itself and serves the commands too; the middleware of the store's client uses error_text. A larger announced length is refused before the body is read also for commands.

--- a/tanagerspoke/commands/edge_requests.py
+++ b/tanagerspoke/commands/edge_requests.py
@@ -8,6 +8,7 @@
 
 from tanagerspoke import exceptions
 from tanagerspoke.commands import program
+from tanagerspoke.transport.store import answer_limits
 
 T = TypeVar("T")
 
@@ -53,13 +54,12 @@
             aiohttp.ClientSession(timeout=timeout) as session,
             session.get(url, params=params) as resp,
         ):
-            body = bytearray()
-            async for chunk in resp.content.iter_any():
-                body += chunk
-                if len(body) > _MAX_ANSWER_BYTES:
-                    message = f"{url}: not an answer of an edge: too large"
-                    raise exceptions.ProtocolError(message)
-            return resp.status, bytes(body)
+            return resp.status, await answer_limits.read_body(
+                resp, max_bytes=_MAX_ANSWER_BYTES
+            )
+    except exceptions.AnswerRejectedError as exc:
+        message = f"{url}: not an answer of an edge: too large"
+        raise exceptions.ProtocolError(message) from exc
     except TimeoutError as exc:
         message = f"{url}: no answer within {_TIMEOUT_S:g} s"
         raise exceptions.ProtocolError(message) from exc
--- a/tanagerspoke/exceptions.py
+++ b/tanagerspoke/exceptions.py
@@ -51,7 +51,7 @@
 
 
 class AnswerRejectedError(PlatformUnavailableError):
-    """An answer of the platform exceeds a bound; nothing of it is used."""
+    """An answer exceeds a bound; nothing of it is used."""
 
 
 class HistoryLostError(PlatformError):
--- a/tanagerspoke/platform/store.py
+++ b/tanagerspoke/platform/store.py
@@ -246,7 +246,8 @@
         except (aiohttp.ClientConnectionError, OSError) as exc:
             if self._last_request_failed:
                 raise exceptions.PlatformUnavailableError(
-                    f"{req.method} {req.url.path}: {type(exc).__name__}: {exc}"
+                    f"{req.method} {req.url.path}: "
+                    f"{answer_limits.error_text(exc)}"
                 ) from exc
             raise
 
@@ -263,10 +264,6 @@
                 ) as resp:
                     body = await answer_limits.read_body(resp)
                     self._exchanged_bytes += len(body)
-        except exceptions.AnswerRejectedError as exc:
-            raise exceptions.AnswerRejectedError(
-                f"{method} {path}: {exc}"
-            ) from exc
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             self._last_request_failed = True
             raise exceptions.PlatformUnavailableError(
--- a/tanagerspoke/transport/store/answer_limits.py
+++ b/tanagerspoke/transport/store/answer_limits.py
@@ -36,17 +36,20 @@
         AnswerRejectedError: the body is larger than `max_bytes`. What follows
             is not read, and the connection closes.
     """
+    source = f"{resp.method} {resp.url.path}"
     if resp.content_length is not None and resp.content_length > max_bytes:
         resp.close()
         raise exceptions.AnswerRejectedError(
-            f"{resp.content_length} bytes, more than {max_bytes}"
+            f"{source}: {resp.content_length} bytes, more than {max_bytes}"
         )
     body = bytearray()
     async for part in resp.content.iter_any():
         body += part
         if len(body) > max_bytes:
             resp.close()
-            raise exceptions.AnswerRejectedError(f"more than {max_bytes} bytes")
+            raise exceptions.AnswerRejectedError(
+                f"{source}: more than {max_bytes} bytes"
+            )
     return bytes(body)
 
 
--- a/tanagerspoke/transport/store/platform_client.py
+++ b/tanagerspoke/transport/store/platform_client.py
@@ -106,10 +106,6 @@
                 method, self._base_url + path, **kwargs
             ) as resp:
                 return resp.status, await answer_limits.read_body(resp)
-        except exceptions.AnswerRejectedError as exc:
-            raise exceptions.AnswerRejectedError(
-                f"{method} {path}: {exc}"
-            ) from exc
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise exceptions.PlatformUnavailableError(
                 f"{method} {path}: {answer_limits.error_text(exc)}"
