Keep background tasks in one class

Cause: the notices of leaving upstreams and the pushed list of nodes keep and cancel their tasks in the same way, as heartbeats and probes of agents do. Ruled out: graceful_stop, keyed_writes, claim_service and gateway_service, which wait for their tasks or return them. Change: transport/background_tasks.py serves the four that start and cancel.

--- a/tanagerspoke/transport/peers/leaving_notices.py
+++ b/tanagerspoke/transport/peers/leaving_notices.py
@@ -1,11 +1,11 @@
 """Notices of leaving upstreams, between this node and the others."""
 
-import asyncio
 from collections.abc import Callable
 import logging
 
 from tanagerspoke.coordination import upstream_listing
 from tanagerspoke.protocol import zone_feed
+from tanagerspoke.transport import background_tasks
 from tanagerspoke.transport.peers import zone_feed_client
 
 log = logging.getLogger(__name__)
@@ -37,12 +37,11 @@
         self._followed_node = followed_node
         self._publish = publish
         self._on_upstreams = on_upstreams
-        self._reports: set[asyncio.Task[None]] = set()
+        self._reports = background_tasks.BackgroundTasks()
 
     def close(self) -> None:
         """Cancels the reports that are being sent."""
-        for report in list(self._reports):
-            report.cancel()
+        self._reports.cancel()
 
     def spread(self, update: zone_feed.LeavingUpdate) -> bool:
         """Applies an update and sends it on towards the reader of the store.
@@ -52,13 +51,8 @@
         if not self.apply(update):
             return False
         followed = self._followed_node()
-        if followed is None:
-            return True
-        report = asyncio.get_running_loop().create_task(
-            self._report(followed, update)
-        )
-        self._reports.add(report)
-        report.add_done_callback(self._reports.discard)
+        if followed is not None:
+            self._reports.start(self._report(followed, update))
         return True
 
     async def _report(
--- a/tanagerspoke/transport/peers/node_list_push.py
+++ b/tanagerspoke/transport/peers/node_list_push.py
@@ -1,11 +1,11 @@
 """Hands the first list of nodes on when the fleet starts for the first time."""
 
-import asyncio
 from collections.abc import Callable
 import logging
 
 from tanagerspoke.coordination import list_recipients
 from tanagerspoke.protocol import zone_feed
+from tanagerspoke.transport import background_tasks
 from tanagerspoke.transport.peers import zone_feed_client
 
 log = logging.getLogger(__name__)
@@ -39,12 +39,11 @@
         self._client = client
         self._nodes = nodes
         self._on_nodes = on_nodes
-        self._sends: set[asyncio.Task[None]] = set()
+        self._sends = background_tasks.BackgroundTasks()
 
     def close(self) -> None:
         """Cancels what is being sent."""
-        for send in list(self._sends):
-            send.cancel()
+        self._sends.cancel()
 
     def send_to_zones(self, nodes: tuple[zone_feed.Node, ...]) -> None:
         """Sends a list that was read from the store to all zones."""
@@ -67,11 +66,7 @@
     ) -> None:
         update = zone_feed.NodesUpdate(nodes=nodes)
         for recipient in recipients:
-            send = asyncio.get_running_loop().create_task(
-                self._send_one(recipient, update)
-            )
-            self._sends.add(send)
-            send.add_done_callback(self._sends.discard)
+            self._sends.start(self._send_one(recipient, update))
 
     async def _send_one(
         self, recipient: zone_feed.Node, update: zone_feed.NodesUpdate
--- a/tanagerspoke/transport/peers/peer_service.py
+++ b/tanagerspoke/transport/peers/peer_service.py
@@ -16,6 +16,7 @@
 from tanagerspoke.protocol import platform
 from tanagerspoke.protocol import randomness
 from tanagerspoke.settings import options
+from tanagerspoke.transport import background_tasks
 from tanagerspoke.transport.operations import agent_metrics
 from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.peers import grpc_peer
@@ -84,7 +85,7 @@
             on_rejected=self._count_rejected,
         )
         self._expected_reply_bytes = _FIRST_REPLY_ESTIMATE_BYTES
-        self._send_tasks: set[asyncio.Task[None]] = set()
+        self._sends = background_tasks.BackgroundTasks()
 
     async def on_start(self) -> None:
         """Opens the port."""
@@ -92,8 +93,7 @@
 
     async def on_stop(self) -> None:
         """Cancels running heartbeats and closes the port."""
-        for task in self._send_tasks:
-            task.cancel()
+        self._sends.cancel()
         await self._server.close()
 
     def peer_target(self, host: str) -> str | None:
@@ -198,11 +198,7 @@
         )
         if grant is None:
             return
-        task = asyncio.create_task(
-            self._send_heartbeat(action, data, base_bytes, grant)
-        )
-        self._send_tasks.add(task)
-        task.add_done_callback(self._send_tasks.discard)
+        self._sends.start(self._send_heartbeat(action, data, base_bytes, grant))
 
     async def _send_heartbeat(
         self,
--- a/tanagerspoke/transport/store/probe_service.py
+++ b/tanagerspoke/transport/store/probe_service.py
@@ -15,6 +15,7 @@
 from tanagerspoke.protocol import headers
 from tanagerspoke.protocol import randomness
 from tanagerspoke.protocol import upstreams
+from tanagerspoke.transport import background_tasks
 from tanagerspoke.transport.operations import supervision
 from tanagerspoke.transport.store import control_meter
 
@@ -48,7 +49,7 @@
         self._meter = meter
         self._on_load = on_load
         self._prober = probing.Prober(rng=rng)
-        self._probe_tasks: set[asyncio.Task[None]] = set()
+        self._probes = background_tasks.BackgroundTasks()
         self._session: aiohttp.ClientSession | None = None
 
     def set_upstreams(self, listed: Iterable[upstreams.Upstream]) -> None:
@@ -67,8 +68,7 @@
 
     async def on_stop(self) -> None:
         """Cancels running probes and closes all connections."""
-        for task in self._probe_tasks:
-            task.cancel()
+        self._probes.cancel()
         if self._session is not None:
             await self._session.close()
 
@@ -77,7 +77,7 @@
     async def _start_probes(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_TICK_INTERVAL_S)
-            if len(self._probe_tasks) < _MAX_RUNNING_PROBES:
+            if len(self._probes) < _MAX_RUNNING_PROBES:
                 self._start_probe()
 
     def _start_probe(self) -> None:
@@ -92,9 +92,7 @@
         self._prober.record_probe_start(
             upstream.upstream_id, now=time.monotonic()
         )
-        task = asyncio.create_task(self._probe(upstream, grant))
-        self._probe_tasks.add(task)
-        task.add_done_callback(self._probe_tasks.discard)
+        self._probes.start(self._probe(upstream, grant))
 
     async def _probe(
         self, upstream: upstreams.Upstream, grant: budget.Grant
