Bound account labels, and read pushed updates, in one place each

Cause: the metrics of fair shares repeated the bound on account labels of the usage metrics; two handlers of the peer port decoded a body in the same way. Ruled out: one collector for both metrics, since one counts verdicts and the other rates. Change: AccountLabels holds the bound; _read_update answers 400 to a body without an update, as before.

--- a/tanagerspoke/transport/operations/account_metrics.py
+++ b/tanagerspoke/transport/operations/account_metrics.py
@@ -8,11 +8,7 @@
 
 from tanagerspoke.coordination.fair_shares import account_rates
 from tanagerspoke.coordination.fair_shares import service_shares
-
-# With more accounts, they are counted together, so that the number of label
-# values is bounded.
-_MAX_LABELED_ACCOUNTS = 100
-_OTHER_ACCOUNTS = "other"
+from tanagerspoke.transport.operations import account_labels
 
 
 class AccountMetrics(prometheus_registry.Collector):
@@ -25,19 +21,16 @@
         """Creates an instance without accounts."""
         self._rates = account_rates.AccountRates()
         self._shares: list[service_shares.ServiceShares] = []
-        self._accounts: frozenset[str] = frozenset()
+        self._labels = account_labels.AccountLabels()
         self._calls: dict[tuple[str, bool], int] = {}
 
     def set_accounts(self, accounts: Iterable[str]) -> None:
         """Sets the names of the accounts; drops the calls of all others."""
-        labeled = frozenset(accounts)
-        if len(labeled) > _MAX_LABELED_ACCOUNTS:
-            labeled = frozenset()
-        self._accounts = labeled
+        self._labels.set_accounts(accounts)
         self._calls = {
-            (account, met): count
-            for (account, met), count in self._calls.items()
-            if account in labeled or account == _OTHER_ACCOUNTS
+            (label, met): count
+            for (label, met), count in self._calls.items()
+            if self._labels.is_in_use(label)
         }
 
     def watch_rates(self, rates: account_rates.AccountRates) -> None:
@@ -50,7 +43,7 @@
 
     def count_call(self, account: str, *, met_target: bool) -> None:
         """Counts a finished call of an account."""
-        key = (self._label(account), met_target)
+        key = (self._labels.label(account), met_target)
         self._calls[key] = self._calls.get(key, 0) + 1
 
     def collect(self) -> Iterator[core.Metric]:
@@ -85,11 +78,8 @@
         values: dict[str, float] = {}
         for account in self._rates.accounts:
             if account != account_rates.PUBLIC:
-                label = self._label(account)
+                label = self._labels.label(account)
                 values[label] = values.get(label, 0.0) + read(account)
         for label, value in values.items():
             family.add_metric([label], value)
         return family
-
-    def _label(self, account: str) -> str:
-        return account if account in self._accounts else _OTHER_ACCOUNTS
--- a/tanagerspoke/transport/operations/usage_metrics.py
+++ b/tanagerspoke/transport/operations/usage_metrics.py
@@ -6,14 +6,11 @@
 
 import prometheus_client
 
+from tanagerspoke.transport.operations import account_labels
 from tanagerspoke.transport.operations import log_limit
 
 log = logging.getLogger(__name__)
 
-# With more accounts, they are counted together, so that the number of label
-# values is bounded.
-_MAX_LABELED_ACCOUNTS = 100
-_OTHER_ACCOUNTS = "other"
 _OVER_LIMIT_LOG_INTERVAL_S = 1.0
 _OVER_LIMIT_LOG_LINES_PER_S = 20.0
 _OVER_LIMIT_LOG_BURST_LINES = 100
@@ -48,17 +45,14 @@
             ("role",),
             registry=registry,
         )
-        self._labeled: frozenset[str] = frozenset()
+        self._account_labels = account_labels.AccountLabels()
         self._labels_in_use: set[tuple[str, str]] = set()
 
     def set_accounts(self, accounts: Iterable[str]) -> None:
         """Sets the accounts with a limit; drops the labels of all others."""
-        labeled = frozenset(accounts)
-        if len(labeled) > _MAX_LABELED_ACCOUNTS:
-            labeled = frozenset()
-        self._labeled = labeled
+        self._account_labels.set_accounts(accounts)
         for labels in list(self._labels_in_use):
-            if labels[0] not in labeled and labels[0] != _OTHER_ACCOUNTS:
+            if not self._account_labels.is_in_use(labels[0]):
                 self._verdicts.remove(*labels)
                 self._labels_in_use.discard(labels)
 
@@ -68,10 +62,9 @@
 
     def count_verdict(self, account: str, result: str) -> None:
         """Counts a call: `admitted`, `over_limit` or `unconfirmed`."""
-        if account not in self._labeled:
-            account = _OTHER_ACCOUNTS
-        self._labels_in_use.add((account, result))
-        self._verdicts.labels(account, result).inc()
+        labels = (self._account_labels.label(account), result)
+        self._labels_in_use.add(labels)
+        self._verdicts.labels(*labels).inc()
 
     def count_request(self, result: str) -> None:
         """Counts a datagram by the result of the answer.
--- a/tanagerspoke/transport/peers/zone_feed_server.py
+++ b/tanagerspoke/transport/peers/zone_feed_server.py
@@ -196,20 +196,14 @@
         return web.Response(body=body, content_type="application/json")
 
     async def _serve_report(self, req: web.Request) -> web.Response:
-        try:
-            update = zone_feed_codec.decode_update(await req.read())
-        except exceptions.ProtocolError as exc:
-            return web.Response(status=400, text=f"{exc}\n")
+        update = await _read_update(req)
         if not isinstance(update, zone_feed.LeavingUpdate):
             return web.Response(status=400, text="not a report\n")
         self._on_report(update)
         return web.Response(status=204)
 
     async def _serve_nodes(self, req: web.Request) -> web.Response:
-        try:
-            update = zone_feed_codec.decode_update(await req.read())
-        except exceptions.ProtocolError as exc:
-            return web.Response(status=400, text=f"{exc}\n")
+        update = await _read_update(req)
         if not isinstance(update, zone_feed.NodesUpdate):
             return web.Response(status=400, text="not a list of nodes\n")
         self._on_pushed_nodes(update.nodes)
@@ -232,6 +226,18 @@
             )
 
 
+async def _read_update(req: web.Request) -> zone_feed.ZoneUpdate:
+    """Returns the update in a request's body.
+
+    Raises:
+        HTTPBadRequest: the body holds none.
+    """
+    try:
+        return zone_feed_codec.decode_update(await req.read())
+    except exceptions.ProtocolError as exc:
+        raise web.HTTPBadRequest(text=f"{exc}\n") from exc
+
+
 def _requested_level(req: web.Request) -> reader_choice.FeedLevel:
     level = req.query.get(zone_feed_codec.LEVEL_PARAMETER)
     if level == reader_choice.FeedLevel.FLEET:
