Build simulated upstreams and attempt generators in one place

Ruled out: a builder for whole runs, which differ in nodes, loads and what they record. Change: simulation.make_fakes and attempt_rng; the random numbers are the same.

--- a/bench/fair_shares.py
+++ b/bench/fair_shares.py
@@ -152,20 +152,13 @@
     """
     clock = simulation.Clock()
     listed = helpers.make_upstreams(_UPSTREAMS, slots=_SLOTS)
-    fakes = {
-        u.upstream_id: simulation.FakeUpstream(
-            clock=clock, upstream=u, load_report_age_s=0.0
-        )
-        for u in listed
-    }
-    for fake in fakes.values():
-        fake.reports_slowness = True
+    fakes = simulation.make_fakes(clock=clock, listed=listed)
 
     def service_time_s(call: calls.Call, attempt: int) -> float:
         return simulation.draw_service_time_s(
             mean_s=_MEAN_SERVICE_TIME_S * float(call.route),
             sigma=0.5,
-            rng=random.Random(seed * 1_000_003 + call.call_id * 7 + attempt),
+            rng=simulation.attempt_rng(seed, call, attempt),
         )
 
     accounts = {
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -1,7 +1,7 @@
 """Discrete-event simulation of gateways and upstreams, without I/O."""
 
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import dataclasses
 import heapq
 import itertools
@@ -391,6 +391,31 @@
         )
 
 
+def make_fakes(
+    *,
+    clock: Clock,
+    listed: Iterable[upstreams.Upstream],
+    load_report_age_s: float = 0.0,
+) -> dict[str, FakeUpstream]:
+    """Returns upstreams by id, which report the slowness of their hosts."""
+    fakes = {
+        upstream.upstream_id: FakeUpstream(
+            clock=clock,
+            upstream=upstream,
+            load_report_age_s=load_report_age_s,
+        )
+        for upstream in listed
+    }
+    for fake in fakes.values():
+        fake.reports_slowness = True
+    return fakes
+
+
+def attempt_rng(seed: int, call: calls.Call, attempt: int) -> random.Random:
+    """Returns the generator of an attempt, the same under all schedulers."""
+    return random.Random(seed * 1_000_003 + call.call_id * 7 + attempt)
+
+
 def draw_service_time_s(
     *, mean_s: float, sigma: float, rng: random.Random
 ) -> float:
--- a/tests/coordination/cold_upstreams/test_patterns.py
+++ b/tests/coordination/cold_upstreams/test_patterns.py
@@ -46,14 +46,7 @@
         self._limited = limited
         self._rng = random.Random(1)
         self._durations: dict[int, float] = {}
-        self.fakes = {
-            u.upstream_id: simulation.FakeUpstream(
-                clock=self.clock, upstream=u, load_report_age_s=0.0
-            )
-            for u in self.listed
-        }
-        for fake in self.fakes.values():
-            fake.reports_slowness = True
+        self.fakes = simulation.make_fakes(clock=self.clock, listed=self.listed)
         self.nodes = [self._add_node(number) for number in range(_NODES)]
         self.handle(calls.UpstreamsChanged(upstreams=self.listed))
 
--- a/tests/coordination/test_load_patterns.py
+++ b/tests/coordination/test_load_patterns.py
@@ -53,17 +53,12 @@
         self._call_ids = 0
         self.durations: dict[int, float] = {}
         listed = helpers.make_upstreams(upstreams, slots=slots)
-        fakes = {
-            upstream.upstream_id: simulation.FakeUpstream(
-                clock=self.clock,
-                upstream=upstream,
-                load_report_age_s=load_report_age_s,
-            )
-            for upstream in listed
-        }
+        fakes = simulation.make_fakes(
+            clock=self.clock,
+            listed=listed,
+            load_report_age_s=load_report_age_s,
+        )
         self.fakes: _Upstreams = list(fakes.values())
-        for fake in self.fakes:
-            fake.reports_slowness = True
         self.nodes = [
             simulation.Gateway(
                 clock=self.clock,
--- a/tests/coordination/test_route_differential.py
+++ b/tests/coordination/test_route_differential.py
@@ -77,21 +77,14 @@
 ) -> list[simulation.CallRecord]:
     clock = simulation.Clock()
     listed = helpers.make_upstreams(_UPSTREAM_COUNT)
-    fakes = {
-        upstream.upstream_id: simulation.FakeUpstream(
-            clock=clock, upstream=upstream, load_report_age_s=0.0
-        )
-        for upstream in listed
-    }
-    for fake in fakes.values():
-        fake.reports_slowness = True
+    fakes = simulation.make_fakes(clock=clock, listed=listed)
 
     def service_time_s(call: calls.Call, attempt: int) -> float:
         # The same attempt takes equally long under both schedulers.
         return simulation.draw_service_time_s(
             mean_s=_MEAN_SERVICE_TIME_S,
             sigma=0.8,
-            rng=random.Random(seed * 1_000_003 + call.call_id * 7 + attempt),
+            rng=simulation.attempt_rng(seed, call, attempt),
         )
 
     nodes = [
