--- a/bench/caller_requests.py
+++ b/bench/caller_requests.py
@@ -4,12 +4,14 @@
 import enum
 import random
 
+from tanagerspoke.platform import headers
+
 MAX_HEADER_BYTES = 2000
 MAX_BODY_BYTES = 40_000
 # More than the requests that may wait behind a running one, twice.
 _MAX_REQUESTS = 40
 _MAX_PARTS = 400
-_HEAD = "Host: a.example\r\nX-Attempt-Id: {name}\r\n"
+_HEAD = f"Host: a.example\r\n{headers.REQUEST_ID}: {{name}}\r\n"
 
 
 class Expected(enum.Enum):
@@ -116,8 +118,8 @@
     "\x16\x03\x01\x02 /{name} HTTP/1.1\r\n",
 )
 _REFUSED_HEADS = (
-    "X-Deadline-Ms: x\r\n",
-    "X-Deadline-Ms: \u0663\r\n",
+    f"{headers.DEADLINE_MS}: x\r\n",
+    f"{headers.DEADLINE_MS}: \u0663\r\n",
     "Expect: nothing\r\n",
     f"X-Long: {'x' * MAX_HEADER_BYTES}\r\n",
     "X-Many: x\r\n" * 200,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Shared fixtures and the deterministic profile of the property tests."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+import logging
 import pathlib
 
 import hypothesis
@@ -24,6 +25,16 @@
     config.pluginmanager.register(known_red.KnownRed(path=path))
 
 
+@pytest.fixture
+def restored_logging() -> Iterator[None]:
+    """Undoes the logging of a command, which tests that follow would see."""
+    root = logging.getLogger()
+    handlers, level = list(root.handlers), root.level
+    yield
+    root.handlers[:] = handlers
+    root.setLevel(level)
+
+
 @pytest_asyncio.fixture
 async def stack(tmp_path: pathlib.Path) -> AsyncIterator[stacks.Stack]:
     """A stack with a running platform stand-in; closed after the test."""
--- a/tests/transport/test_status.py
+++ b/tests/transport/test_status.py
@@ -1,10 +1,9 @@
 """Tests of `tanagerspokectl status` at running edges."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 import contextlib
 import json
-import logging
 from typing import Any
 
 import pytest
@@ -28,14 +27,7 @@
 }
 
 
-@pytest.fixture(autouse=True)
-def _restored_logging() -> Iterator[None]:
-    """Undoes the logging of the command, which tests that follow would see."""
-    root = logging.getLogger()
-    handlers, level = list(root.handlers), root.level
-    yield
-    root.handlers[:] = handlers
-    root.setLevel(level)
+pytestmark = pytest.mark.usefixtures("restored_logging")
 
 
 async def _run(cluster: edge_stack.EdgeStack, **options: Any) -> None:
--- a/tests/transport/test_where.py
+++ b/tests/transport/test_where.py
@@ -1,9 +1,7 @@
 """Tests of `tanagerspokectl where` at a running edge."""
 
 import asyncio
-from collections.abc import Iterator
 import json
-import logging
 from typing import Any
 
 import pytest
@@ -32,14 +30,7 @@
 )
 
 
-@pytest.fixture(autouse=True)
-def _restored_logging() -> Iterator[None]:
-    """Undoes the logging of the command, which tests that follow would see."""
-    root = logging.getLogger()
-    handlers, level = list(root.handlers), root.level
-    yield
-    root.handlers[:] = handlers
-    root.setLevel(level)
+pytestmark = pytest.mark.usefixtures("restored_logging")
 
 
 async def _ask(cluster: edge_stack.EdgeStack, **options: Any) -> None:
