Search free ports at loopback addresses only in the review's scripts

Cause: the search bound ports at 0.0.0.0 for a moment. The review allows loopback addresses only.

Change: it binds the addresses of the script's own machines.

--- a/review/common2/edge.py
+++ b/review/common2/edge.py
@@ -1,6 +1,7 @@
 """Starts the project's edge with the commands of the deploy file."""
 
 import asyncio
+from collections.abc import Sequence
 import os
 import pathlib
 import signal
@@ -15,19 +16,20 @@
 _START_TIMEOUT_S = 30.0
 
 
-def free_ports(address: str, count: int) -> int:
-    """Returns the first of adjacent ports that are free at an address."""
+def free_ports(addresses: Sequence[str], count: int) -> int:
+    """Returns the first of adjacent ports that are free at all addresses."""
     while True:
         with socket.socket() as sock:
-            sock.bind((address, 0))
+            sock.bind((addresses[0], 0))
             first = sock.getsockname()[1]
         if first + count > 65_000:
             continue
         try:
-            for port in range(first, first + count):
-                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    with socket.socket(type=kind) as sock:
-                        sock.bind((address, port))
+            for address in addresses:
+                for port in range(first, first + count):
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        with socket.socket(type=kind) as sock:
+                            sock.bind((address, port))
         except OSError:
             continue
         return first
--- a/review/common2/fleet.py
+++ b/review/common2/fleet.py
@@ -28,6 +28,7 @@
 evacuate_s = 5"""
 _READINESS_INTERVAL_S = 1.0
 _MAX_MISSES = 2
+_MAX_EDGES = 4
 
 
 def route(
@@ -104,7 +105,9 @@
         self._poll_tasks: list[asyncio.Task[None]] = []
         pid = os.getpid()
         self._network = f"127.{1 + pid % 250}.{1 + pid // 250 % 250}"
-        self._ports = edges.free_ports("0.0.0.0", 20)
+        self._ports = edges.free_ports(
+            [f"{self._network}.{host}" for host in range(1, _MAX_EDGES + 1)], 20
+        )
         self.started_at = time.monotonic()
 
     def note(self, event: str, **fields: Any) -> None:
